Serve a request end to end through separate processes

Cause: the project needs a whole path, from an operator's publication to a caller's answer, before any part of it is worked out. Before this commit there was nothing to run.

--- /dev/null
+++ b/include/endivewood/endivewood.h
@@ -0,0 +1,484 @@
+/// @file
+/// The public interface of endivewood: types, fleet configuration, fleet records and the fold that
+/// turns the fleet stream into an immutable view. Programs that embed the library read this file.
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace endivewood {
+
+/// Version of the library and of the programs built from it.
+inline constexpr char kVersion[] = "0.1.0";
+
+using Milliseconds = std::chrono::milliseconds;
+
+// ---------------------------------------------------------------------------------------------
+// Result codes
+
+/// Numbered outcomes. The table in docs/result-codes.md lists each with its HTTP status.
+enum class ResultCode : int {
+  kOk = 0,
+  kAccepted = 1,
+  kPending = 2,
+  // Requests that the caller has to change.
+  kUnknownService = 100,
+  kMalformedRequest = 101,
+  kBodyTooLarge = 102,
+  kMissingKey = 103,
+  kKeyReused = 104,
+  kKeyExpired = 105,
+  kUnknownResult = 106,
+  kMissingCallerToken = 107,
+  kInvalidHeader = 108,
+  // Requests that were not run.
+  kNotRunOverload = 200,
+  kNotRunDeadline = 201,
+  kNotRunNoUpstream = 202,
+  kNotRunStopping = 203,
+  kNotStartedPlatform = 204,
+  kNotRunCancelled = 205,
+  kNotRunnable = 206,
+  // Requests whose effect is not known.
+  kUnknownEffect = 300,
+  kUpstreamFailed = 301,
+  kUpstreamTimeout = 302,
+  // Settings and fleet configuration.
+  kFileUnreadable = 400,
+  kInvalidYaml = 401,
+  kUnknownKey = 402,
+  kWrongType = 403,
+  kOutOfRange = 404,
+  kMissingValue = 405,
+  kDuplicateName = 406,
+  kUnknownReference = 407,
+  kBudgetUnsatisfiable = 408,
+  kInvalidChart = 409,
+  // Fleet records.
+  kVersionConflict = 500,
+  kUnknownInstance = 501,
+  kInvalidTransition = 502,
+  kBudgetBreach = 503,
+  kDuplicateRecord = 504,
+  kUnknownPreset = 505,
+  kWaveActive = 506,
+  kInvalidRecord = 507,
+  // The platform.
+  kPlatformUnreachable = 600,
+  kAppendUncertain = 601,
+  kOffsetExpired = 602,
+  kProtocolError = 603,
+};
+
+/// @returns the short name of a code as the table in docs/result-codes.md gives it.
+const char* ResultCodeName(ResultCode code);
+
+/// @returns the HTTP status that a caller receives with this code.
+int HttpStatusOf(ResultCode code);
+
+/// Why the last operation returned no value.
+struct Reason {
+  ResultCode code = ResultCode::kOk;
+  std::string text;
+
+  bool operator==(const Reason&) const = default;
+};
+
+// ---------------------------------------------------------------------------------------------
+// Clock
+
+/// The runtime's clock. Every decision takes its time from here, so tests can pause and advance it.
+/// Thread-safe.
+class Clock {
+ public:
+  /// @returns monotonic time in milliseconds since the clock's creation.
+  Milliseconds Now() const;
+
+  /// @returns wall-clock time in milliseconds since the Unix epoch; advances with Now().
+  Milliseconds UnixTime() const;
+
+  /// Stops the clock at the present time.
+  void Pause();
+
+  /// Lets a paused clock run on from the time at which it stands.
+  void Resume();
+
+  /// Moves the clock forward, paused or not.
+  /// @param duration must not be negative.
+  void Advance(Milliseconds duration);
+
+ private:
+  Milliseconds RealElapsed() const;
+
+  mutable std::mutex m_mutex;
+  std::chrono::steady_clock::time_point m_started = std::chrono::steady_clock::now();
+  Milliseconds m_unix_start =
+      std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+  Milliseconds m_offset{0};
+  std::optional<Milliseconds> m_paused_at;
+};
+
+// ---------------------------------------------------------------------------------------------
+// Names
+
+/// A typed name. The default value is empty and invalid.
+template <typename Tag>
+class Name {
+ public:
+  Name() = default;
+  explicit Name(std::string value) : m_value(std::move(value)) {}
+
+  const std::string& str() const { return m_value; }
+  bool valid() const { return !m_value.empty(); }
+  auto operator<=>(const Name&) const = default;
+
+ private:
+  std::string m_value;
+};
+
+using InstanceName = Name<struct InstanceTag>;
+using PoolName = Name<struct PoolTag>;
+using ServiceName = Name<struct ServiceTag>;
+using PresetName = Name<struct PresetTag>;
+using DataCentreName = Name<struct DataCentreTag>;
+using RackName = Name<struct RackTag>;
+using WaveName = Name<struct WaveTag>;
+/// One run of one process; a restarted process has a new incarnation.
+using Incarnation = Name<struct IncarnationTag>;
+/// 32 hexadecimal digits that identify a record of the log.
+using RecordId = Name<struct RecordIdTag>;
+
+/// @returns a random 128-bit value as 32 hexadecimal digits, from the operating system's source.
+std::string RandomHex128();
+
+/// An IP address and port.
+struct Endpoint {
+  std::string address;
+  std::uint16_t port = 0;
+
+  bool valid() const { return port != 0; }
+  std::string str() const { return address + ":" + std::to_string(port); }
+  auto operator<=>(const Endpoint&) const = default;
+};
+
+// ---------------------------------------------------------------------------------------------
+// Fleet configuration
+
+/// Scheduling class of a request.
+enum class WorkClass : std::uint8_t { kShort = 0, kLong = 1 };
+
+/// A service and its availability budget.
+struct ServiceConfig {
+  ServiceName name;
+  PoolName pool;
+  WorkClass work_class = WorkClass::kShort;
+  bool idempotent = true;
+  /// The service has at least this many ready instances through every planned change.
+  int min_available = 0;
+  /// A request that can't start within this time is refused.
+  Milliseconds queue_deadline{2000};
+  /// An upstream that has not answered after this time is treated as failed.
+  Milliseconds run_timeout{30000};
+
+  bool operator==(const ServiceConfig&) const = default;
+};
+
+/// A group of instances. Instances of a spare pool serve nothing and replace others.
+struct PoolConfig {
+  PoolName name;
+  bool spare = false;
+
+  bool operator==(const PoolConfig&) const = default;
+};
+
+/// The number of instances that a preset gives a pool.
+struct PoolTarget {
+  PoolName pool;
+  int instances = 0;
+
+  bool operator==(const PoolTarget&) const = default;
+};
+
+/// A named distribution of instances over pools. The spare pool takes the rest.
+struct PresetConfig {
+  PresetName name;
+  std::vector<PoolTarget> targets;
+
+  bool operator==(const PresetConfig&) const = default;
+};
+
+/// An instance that the configuration introduces. `pool` is its first pool; later moves are
+/// records, and a later configuration doesn't move it.
+struct InstanceConfig {
+  InstanceName name;
+  DataCentreName data_centre;
+  RackName rack;
+  PoolName pool;
+  Endpoint endpoint;
+  int slots = 8;
+
+  bool operator==(const InstanceConfig&) const = default;
+};
+
+/// A checked fleet configuration.
+struct FleetConfig {
+  std::vector<ServiceConfig> services;
+  std::vector<PoolConfig> pools;
+  std::vector<PresetConfig> presets;
+  std::vector<InstanceConfig> instances;
+
+  const ServiceConfig* FindService(const ServiceName& name) const;
+  const PoolConfig* FindPool(const PoolName& name) const;
+  const PresetConfig* FindPreset(const PresetName& name) const;
+  /// @returns the spare pool, or nullptr when none is configured.
+  const PoolConfig* SparePool() const;
+
+  bool operator==(const FleetConfig&) const = default;
+};
+
+/// A fault in a settings or configuration file.
+struct ConfigFault {
+  ResultCode code = ResultCode::kOk;
+  std::string file;
+  int line = 0;  ///< 1-based; 0 when the fault has no line.
+  std::string key;
+  std::string found;
+  std::string expected;
+
+  /// @returns "file:line: code name: key: found X, expected Y".
+  std::string str() const;
+  bool operator==(const ConfigFault&) const = default;
+};
+
+/// Parses and checks a fleet configuration.
+/// @param text YAML.
+/// @param file name used in faults.
+/// @param faults receives every fault found.
+/// @returns the configuration, or no value when there is any fault.
+std::optional<FleetConfig> ParseFleetConfig(const std::string& text, const std::string& file,
+                                            std::vector<ConfigFault>* faults);
+
+// ---------------------------------------------------------------------------------------------
+// Fleet records
+
+/// Publishes a configuration. Expected version: that of the configuration.
+struct ConfigPublished {
+  std::string yaml;
+
+  bool operator==(const ConfigPublished&) const = default;
+};
+
+/// Puts a preset in force. Expected version: that of the preset.
+struct PresetSwitched {
+  PresetName preset;
+
+  bool operator==(const PresetSwitched&) const = default;
+};
+
+/// Introduces an instance in the spare pool. Expected version: 0.
+struct InstanceAdded {
+  InstanceName instance;
+  DataCentreName data_centre;
+  RackName rack;
+  Endpoint endpoint;
+  int slots = 8;
+
+  bool operator==(const InstanceAdded&) const = default;
+};
+
+/// Starts a drain. Expected version: that of the instance. Rejected when it breaches a budget.
+struct DrainStarted {
+  InstanceName instance;
+
+  bool operator==(const DrainStarted&) const = default;
+};
+
+/// Records that the drained instance reboots. Expected version: that of the instance.
+struct RebootStarted {
+  InstanceName instance;
+
+  bool operator==(const RebootStarted&) const = default;
+};
+
+/// Returns a rebooted instance to service, in the same or another pool.
+/// Expected version: that of the instance.
+struct InstanceAssigned {
+  InstanceName instance;
+  PoolName pool;
+
+  bool operator==(const InstanceAssigned&) const = default;
+};
+
+/// Records an unplanned loss. Expected version: that of the instance.
+struct InstanceLost {
+  InstanceName instance;
+
+  bool operator==(const InstanceLost&) const = default;
+};
+
+/// Removes a lost instance that will not return. Expected version: that of the instance.
+struct InstanceRemoved {
+  InstanceName instance;
+
+  bool operator==(const InstanceRemoved&) const = default;
+};
+
+/// Starts a maintenance wave over instances of one or all pools. Expected version: that of the
+/// wave.
+struct WaveStarted {
+  WaveName wave;
+  PoolName pool;  ///< Invalid means every pool.
+
+  bool operator==(const WaveStarted&) const = default;
+};
+
+struct WavePaused {
+  WaveName wave;
+  std::string cause;
+
+  bool operator==(const WavePaused&) const = default;
+};
+
+struct WaveResumed {
+  WaveName wave;
+
+  bool operator==(const WaveResumed&) const = default;
+};
+
+struct WaveFinished {
+  WaveName wave;
+
+  bool operator==(const WaveFinished&) const = default;
+};
+
+/// The full state of the fold up to `covered`, so that older records may expire.
+struct SnapshotTaken {
+  std::uint64_t covered = 0;  ///< Every record with an offset below this one is included.
+  std::string state;          ///< Encoded by FleetFold::Encode.
+
+  bool operator==(const SnapshotTaken&) const = default;
+};
+
+using FleetChange = std::variant<ConfigPublished, PresetSwitched, InstanceAdded, DrainStarted,
+                                 RebootStarted, InstanceAssigned, InstanceLost, InstanceRemoved,
+                                 WaveStarted, WavePaused, WaveResumed, WaveFinished, SnapshotTaken>;
+
+/// A change with the fields that every record carries.
+struct FleetRecord {
+  RecordId id;
+  Incarnation author;
+  std::uint64_t expected_version = 0;
+  FleetChange change;
+
+  bool operator==(const FleetRecord&) const = default;
+};
+
+/// @returns the record as the payload of a log record (msgpack).
+std::string EncodeFleetRecord(const FleetRecord& record);
+
+/// @returns the record, or no value when the payload is not a fleet record.
+std::optional<FleetRecord> DecodeFleetRecord(const std::string& payload);
+
+// ---------------------------------------------------------------------------------------------
+// Fleet view
+
+/// State of an instance; the transitions are in charts/instance.yaml.
+enum class InstanceState : std::uint8_t { kReady = 0, kDraining, kRebooting, kLost };
+
+/// @returns "ready", "draining", "rebooting" or "lost".
+const char* InstanceStateName(InstanceState state);
+
+/// One instance as the fold of the fleet stream gives it.
+struct InstanceView {
+  InstanceName name;
+  DataCentreName data_centre;
+  RackName rack;
+  Endpoint endpoint;
+  int slots = 8;
+  PoolName pool;
+  InstanceState state = InstanceState::kReady;
+  std::uint64_t version = 0;     ///< Raised by each record about this instance.
+  std::uint64_t assignment = 0;  ///< Raised by each assignment; requests carry it.
+  /// Sequence number of the last wave that rebooted the instance.
+  std::uint64_t maintained_in = 0;
+
+  bool operator==(const InstanceView&) const = default;
+};
+
+enum class WaveState : std::uint8_t { kRunning = 0, kPaused, kFinished };
+
+/// The latest maintenance wave.
+struct WaveView {
+  WaveName name;
+  PoolName pool;
+  WaveState state = WaveState::kFinished;
+  std::uint64_t sequence = 0;
+  std::string pause_cause;
+
+  bool operator==(const WaveView&) const = default;
+};
+
+/// An immutable state of the fleet. Equal offsets give equal views in every process.
+struct FleetView {
+  std::uint64_t next_offset = 0;  ///< Offset of the first record that is not included.
+  std::uint64_t config_version = 0;
+  std::uint64_t preset_version = 0;
+  std::uint64_t wave_version = 0;
+  FleetConfig config;
+  PresetName preset;
+  WaveView wave;
+  std::map<InstanceName, InstanceView> instances;
+
+  /// @returns the instances of the service's pool that are ready.
+  std::vector<const InstanceView*> ReadyInstances(const ServiceName& service) const;
+  /// @returns the number of ready instances of a pool.
+  int ReadyCount(const PoolName& pool) const;
+  /// @returns the largest min_available of the services that the pool serves.
+  int RequiredAvailable(const PoolName& pool) const;
+
+  bool operator==(const FleetView&) const = default;
+};
+
+/// What the fold decided about a record.
+struct Verdict {
+  RecordId id;
+  ResultCode code = ResultCode::kOk;
+  std::string detail;
+
+  bool accepted() const { return code == ResultCode::kOk; }
+  bool operator==(const Verdict&) const = default;
+};
+
+/// Folds the fleet stream. Deterministic: the same records give the same view and verdicts.
+/// Not thread-safe; the views it hands out are immutable and may be shared.
+class FleetFold {
+ public:
+  /// Applies the record at `offset`. Offsets must not go back; a gap is allowed only before a
+  /// snapshot.
+  Verdict Apply(std::uint64_t offset, const std::string& payload);
+
+  /// @returns the present view. Building it copies the state, so call it once per batch.
+  std::shared_ptr<const FleetView> View() const;
+
+  /// @returns the encoded state for a snapshot or for a peer.
+  std::string Encode() const;
+
+  /// Replaces the state by an encoded one when that one is newer.
+  /// @returns false when the state is malformed or not newer.
+  bool Restore(const std::string& state);
+
+ private:
+  FleetView m_view;
+  std::vector<RecordId> m_recent_ids;  ///< Bounded; detects an append that was repeated.
+};
+
+}  // namespace endivewood
--- /dev/null
+++ b/src/clock.cc
@@ -0,0 +1,35 @@
+/// @file
+/// The runtime's clock.
+#include <endivewood/endivewood.h>
+
+namespace endivewood {
+
+Milliseconds Clock::RealElapsed() const {
+  return std::chrono::duration_cast<Milliseconds>(std::chrono::steady_clock::now() - m_started);
+}
+
+Milliseconds Clock::Now() const {
+  std::lock_guard lock(m_mutex);
+  return m_offset + m_paused_at.value_or(RealElapsed());
+}
+
+Milliseconds Clock::UnixTime() const { return m_unix_start + Now(); }
+
+void Clock::Pause() {
+  std::lock_guard lock(m_mutex);
+  if (!m_paused_at) m_paused_at = RealElapsed();
+}
+
+void Clock::Resume() {
+  std::lock_guard lock(m_mutex);
+  if (!m_paused_at) return;
+  m_offset -= RealElapsed() - *m_paused_at;
+  m_paused_at.reset();
+}
+
+void Clock::Advance(Milliseconds duration) {
+  std::lock_guard lock(m_mutex);
+  m_offset += duration;
+}
+
+}  // namespace endivewood
--- /dev/null
+++ b/src/codec.h
@@ -0,0 +1,105 @@
+/// @file
+/// msgpack adaptors of the library's value types.
+#pragma once
+
+#include <endivewood/endivewood.h>
+
+#include <msgpack.hpp>
+
+MSGPACK_ADD_ENUM(endivewood::WorkClass)
+MSGPACK_ADD_ENUM(endivewood::InstanceState)
+MSGPACK_ADD_ENUM(endivewood::WaveState)
+
+namespace msgpack {
+MSGPACK_API_VERSION_NAMESPACE(MSGPACK_DEFAULT_API_NS) {
+  namespace adaptor {
+
+  /// Names travel as strings.
+  template <typename Tag>
+  struct convert<endivewood::Name<Tag>> {
+    const msgpack::object& operator()(const msgpack::object& object,
+                                      endivewood::Name<Tag>& value) const {
+      value = endivewood::Name<Tag>(object.as<std::string>());
+      return object;
+    }
+  };
+
+  template <typename Tag>
+  struct pack<endivewood::Name<Tag>> {
+    template <typename Stream>
+    msgpack::packer<Stream>& operator()(msgpack::packer<Stream>& packer,
+                                        const endivewood::Name<Tag>& value) const {
+      return packer.pack(value.str());
+    }
+  };
+
+  }  // namespace adaptor
+}
+}  // namespace msgpack
+
+/// Defines the adaptors of a struct that travels as an array of the listed members.
+#define ENDIVEWOOD_CODEC(Type, ...)                                                          \
+  namespace msgpack {                                                                        \
+  MSGPACK_API_VERSION_NAMESPACE(MSGPACK_DEFAULT_API_NS) {                                    \
+    namespace adaptor {                                                                      \
+    template <>                                                                              \
+    struct convert<Type> {                                                                   \
+      const msgpack::object& operator()(const msgpack::object& object, Type& v) const {      \
+        msgpack::type::make_define_array(__VA_ARGS__).msgpack_unpack(object);                \
+        return object;                                                                       \
+      }                                                                                      \
+    };                                                                                       \
+    template <>                                                                              \
+    struct pack<Type> {                                                                      \
+      template <typename Stream>                                                             \
+      msgpack::packer<Stream>& operator()(msgpack::packer<Stream>& p, const Type& v) const { \
+        msgpack::type::make_define_array(__VA_ARGS__).msgpack_pack(p);                       \
+        return p;                                                                            \
+      }                                                                                      \
+    };                                                                                       \
+    }                                                                                        \
+  }                                                                                          \
+  }
+
+// The macro's member lists name the value `v`, which is const while packing.
+// clang-format off
+ENDIVEWOOD_CODEC(endivewood::Endpoint, v.address, v.port)
+ENDIVEWOOD_CODEC(endivewood::ConfigPublished, v.yaml)
+ENDIVEWOOD_CODEC(endivewood::PresetSwitched, v.preset)
+ENDIVEWOOD_CODEC(endivewood::InstanceAdded, v.instance, v.data_centre, v.rack, v.endpoint, v.slots)
+ENDIVEWOOD_CODEC(endivewood::DrainStarted, v.instance)
+ENDIVEWOOD_CODEC(endivewood::RebootStarted, v.instance)
+ENDIVEWOOD_CODEC(endivewood::InstanceAssigned, v.instance, v.pool)
+ENDIVEWOOD_CODEC(endivewood::InstanceLost, v.instance)
+ENDIVEWOOD_CODEC(endivewood::InstanceRemoved, v.instance)
+ENDIVEWOOD_CODEC(endivewood::WaveStarted, v.wave, v.pool)
+ENDIVEWOOD_CODEC(endivewood::WavePaused, v.wave, v.cause)
+ENDIVEWOOD_CODEC(endivewood::WaveResumed, v.wave)
+ENDIVEWOOD_CODEC(endivewood::WaveFinished, v.wave)
+ENDIVEWOOD_CODEC(endivewood::SnapshotTaken, v.covered, v.state)
+// clang-format on
+
+namespace endivewood {
+
+/// @returns the msgpack encoding of a value.
+template <typename T>
+std::string Pack(const T& value) {
+  msgpack::sbuffer buffer;
+  msgpack::pack(buffer, value);
+  return std::string(buffer.data(), buffer.size());
+}
+
+/// @returns the value, or no value when the bytes don't hold exactly one of this type.
+template <typename T>
+std::optional<T> Unpack(const std::string& bytes) {
+  try {
+    std::size_t offset = 0;
+    const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size(), offset);
+    if (offset != bytes.size()) return std::nullopt;
+    return handle.get().as<T>();
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace endivewood
--- /dev/null
+++ b/src/config.h
@@ -0,0 +1,41 @@
+/// @file
+/// Compile-time limits, each with its unit and its reason.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+namespace endivewood::config {
+
+/// Bytes of a request body. Larger bodies belong in the caller's object store.
+inline constexpr std::size_t kMaxBodyBytes = 1 << 20;
+
+/// Bytes of one header value that a caller may set.
+inline constexpr std::size_t kMaxHeaderBytes = 256;
+
+/// Threads of a caller listener. cxxtools holds one thread for each request in progress.
+inline constexpr unsigned kMaxHttpThreads = 600;
+
+/// Threads that a listener keeps ready.
+inline constexpr unsigned kMinHttpThreads = 8;
+
+/// Milliseconds after which an idle caller connection is closed.
+inline constexpr std::int64_t kHttpKeepAliveMs = 30000;
+
+/// Record ids that the fleet fold remembers to recognise a repeated append. An author resolves a
+/// lost answer within its append timeout, during which the stream grows by far fewer records.
+inline constexpr std::size_t kRecentRecordIds = 4096;
+
+/// Milliseconds that one read of a stream waits for new records before it returns none.
+inline constexpr std::int64_t kFollowWaitMs = 1000;
+
+/// Records that one read of a stream returns at most.
+inline constexpr std::size_t kFollowBatch = 512;
+
+/// Milliseconds between two attempts to reach a platform that failed.
+inline constexpr std::int64_t kFollowRetryMs = 200;
+
+/// Milliseconds after which an unanswered platform call counts as failed.
+inline constexpr std::int64_t kPlatformTimeoutMs = 2000;
+
+}  // namespace endivewood::config
--- /dev/null
+++ b/src/http_client.cc
@@ -0,0 +1,64 @@
+/// @file
+/// One-shot HTTP calls on cxxtools::http::Client.
+#include <cxxtools/http/client.h>
+#include <cxxtools/http/reply.h>
+#include <cxxtools/http/request.h>
+#include <cxxtools/ioerror.h>
+
+#include "endivewood_p.h"
+
+namespace endivewood {
+namespace {
+
+cxxtools::http::Request Convert(const HttpRequest& request) {
+  cxxtools::http::Request converted(request.path);
+  converted.method(request.method);
+  converted.qparams(request.query);
+  for (const HttpHeader& header : request.headers) {
+    converted.setHeader(header.name.c_str(), header.value.c_str());
+  }
+  converted.setHeader("Connection", "close");
+  converted.body() << request.body;
+  return converted;
+}
+
+HttpReply Convert(const cxxtools::http::Reply& reply) {
+  HttpReply converted{
+      .status = static_cast<int>(reply.httpReturnCode()), .headers = {}, .body = reply.body()};
+  for (auto it = reply.header().begin(); it != reply.header().end(); ++it) {
+    converted.headers.push_back({it->first, it->second});
+  }
+  return converted;
+}
+
+/// @returns whether the reply's body has the length that its header declares.
+bool IsWhole(const HttpReply& reply) {
+  const std::string length = reply.Header("Content-Length");
+  return length.empty() || length == std::to_string(reply.body.size());
+}
+
+}  // namespace
+
+HttpOutcome HttpCall(const Endpoint& peer, const HttpRequest& request, Milliseconds timeout) {
+  const cxxtools::Milliseconds limit(static_cast<double>(timeout.count()));
+  cxxtools::http::Client client;
+  try {
+    client.connect(peer.address, peer.port);
+  } catch (const std::exception& error) {
+    return {.reply = std::nullopt, .failure = CallFailure::kNotSent, .detail = error.what()};
+  }
+  try {
+    client.execute(Convert(request), limit, limit);
+    HttpReply reply = Convert(client.readBody());
+    if (!IsWhole(reply)) {
+      return {.reply = std::nullopt, .failure = CallFailure::kNoAnswer, .detail = "short answer"};
+    }
+    return {.reply = std::move(reply), .failure = CallFailure::kNoAnswer, .detail = ""};
+  } catch (const cxxtools::IOTimeout& error) {
+    return {.reply = std::nullopt, .failure = CallFailure::kTimeout, .detail = error.what()};
+  } catch (const std::exception& error) {
+    return {.reply = std::nullopt, .failure = CallFailure::kNoAnswer, .detail = error.what()};
+  }
+}
+
+}  // namespace endivewood
--- /dev/null
+++ b/src/yaml_reader.h
@@ -0,0 +1,47 @@
+/// @file
+/// Reads typed values from YAML and collects faults with their lines.
+#pragma once
+
+#include <endivewood/endivewood.h>
+#include <yaml-cpp/yaml.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace endivewood {
+
+/// Typed access to YAML nodes. Every fault is collected; a faulty value reads as its default.
+class YamlReader {
+ public:
+  YamlReader(std::string file, std::vector<ConfigFault>* faults);
+
+  /// Parses a document whose root must be a mapping.
+  YAML::Node Load(const std::string& text);
+
+  /// Reports keys of a mapping that are not in `allowed`.
+  void CheckKeys(const YAML::Node& node, const std::vector<std::string>& allowed);
+
+  /// @param fallback the value of an absent key; without it an absent key is a fault.
+  std::string String(const YAML::Node& node, const std::string& key,
+                     std::optional<std::string> fallback = std::nullopt);
+  bool Bool(const YAML::Node& node, const std::string& key, bool fallback);
+  int Int(const YAML::Node& node, const std::string& key, int min, int max,
+          std::optional<int> fallback);
+  int IntValue(const YAML::Node& value, const std::string& key, int min, int max);
+
+  /// @returns the elements of a sequence; an absent key is a fault only when `required`.
+  std::vector<YAML::Node> Sequence(const YAML::Node& node, const std::string& key, bool required);
+
+  /// @returns the mapping at a required key, or an empty mapping.
+  YAML::Node Mapping(const YAML::Node& node, const std::string& key);
+
+  void Fault(const YAML::Node& node, ResultCode code, const std::string& key,
+             const std::string& found, const std::string& expected);
+
+ private:
+  std::string m_file;
+  std::vector<ConfigFault>* m_faults;
+};
+
+}  // namespace endivewood
--- /dev/null
+++ b/tests/test_main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
