--- /dev/null
+++ b/tools/endivewood_load/load_config.h
@@ -0,0 +1,31 @@
+/// @file
+/// Configuration of a load run.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "workload.h"
+
+namespace endivewood::load {
+
+/// Where and how to send a workload.
+struct LoadConfig {
+  WorkloadOptions workload;
+  std::vector<Endpoint> entries;       ///< Caller listeners; requests go to them in turn.
+  std::vector<Endpoint> upstreams;     ///< Asked for the effects that they applied.
+  int connections = 64;                ///< Requests in progress at a time.
+  int max_attempts = 20;               ///< Attempts per request, with the same key.
+  Milliseconds timeout{20000};         ///< For one attempt.
+  Milliseconds result_timeout{60000};  ///< Until the result of long work is there.
+
+  bool operator==(const LoadConfig&) const = default;
+};
+
+/// Parses and checks a load configuration.
+/// @returns the configuration, or no value when there is any fault.
+std::optional<LoadConfig> ParseLoadConfig(const std::string& text, const std::string& file,
+                                          std::vector<ConfigFault>* faults);
+
+}  // namespace endivewood::load
--- /dev/null
+++ b/tools/endivewood_load/load_report.h
@@ -0,0 +1,44 @@
+/// @file
+/// Report of a load run: endings, latencies and effects.
+#pragma once
+
+#include <ostream>
+#include <vector>
+
+#include "load_request.h"
+
+namespace endivewood::load {
+
+/// Violations that a run found. A correct system has none.
+struct Violations {
+  int wrong_answers = 0;
+  int lost = 0;
+  int doubled_effects = 0;     ///< Keys whose effect was applied more than once.
+  int missing_effects = 0;     ///< Keys answered as done whose effect was not applied.
+  int effects_of_not_run = 0;  ///< Keys answered as not run whose effect was applied.
+
+  int total() const {
+    return wrong_answers + lost + doubled_effects + missing_effects + effects_of_not_run;
+  }
+  bool operator==(const Violations&) const = default;
+};
+
+/// One key's count at the upstreams.
+struct Effect {
+  std::string key;
+  int count = 0;
+};
+
+/// Asks the upstreams for the effects that they applied.
+/// @returns no value when an upstream can't be asked; effects are then not checked.
+std::optional<std::vector<Effect>> CollectEffects(const std::vector<Endpoint>& upstreams);
+
+/// Compares what callers were told with the effects at the upstreams.
+Violations CheckRecords(const std::vector<RequestRecord>& records,
+                        const std::optional<std::vector<Effect>>& effects);
+
+/// Prints endings and latency percentiles for each service.
+void PrintReport(const LoadConfig& config, const std::vector<RequestRecord>& records,
+                 const Violations& violations, bool csv, std::ostream* out);
+
+}  // namespace endivewood::load
