--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -110,7 +110,8 @@
         with open(self.path(member["name"] + ".yaml"), "w", encoding="utf-8") as file:
             for key in ("name", "data_centre", "callers", "control", "peer"):
                 file.write(f"{key}: {flow(member[key])}\n")
-            file.write(f"platform: {flow(self.platform)}\npeers:\n")
+            file.write(f"platform: {flow(self.platform)}\n")
+            file.write("peers:\n" if len(members) > 1 else "peers: []\n")
             for peer in members:
                 if peer is member:
                     continue
