Add a blocking slot allocator with class priority

Cause: The request path and the peer protocol need a queue of slot grants for one data centre, and the entry picks upstreams blindly. Change: SlotAllocator grants slots of ready instances, short work before long work and first come first served within a class. Submit takes a callback so that a queue holder needs no thread for each waiting peer request; Acquire blocks on it. SlotRequest gains `age`, so that resumed work keeps its place at any queue holder.

--- a/src/config.h
+++ b/src/config.h
@@ -38,4 +38,11 @@
 /// Milliseconds after which an unanswered platform call counts as failed.
 inline constexpr std::int64_t kPlatformTimeoutMs = 2000;
 
+/// Requests that wait in one queue. At the smallest pool of a data centre, 16 slots with work of
+/// 100 ms, a longer queue lasts more than 6 s, which is past every usual deadline.
+inline constexpr std::size_t kQueueLimit = 1000;
+
+/// Milliseconds between two checks for expired deadlines.
+inline constexpr std::int64_t kDispatchTickMs = 5;
+
 }  // namespace endivewood::config
--- a/src/slot_allocator.h
+++ b/src/slot_allocator.h
@@ -4,6 +4,9 @@
 
 #include <endivewood/endivewood.h>
 
+#include <memory>
+#include <thread>
+
 namespace endivewood {
 
 /// What a request needs.
@@ -14,6 +17,9 @@
   Milliseconds queue_deadline{2000};
   /// Upstreams on which this request has already failed.
   std::vector<InstanceName> avoid;
+  /// Time since the request first arrived. Work that resumes after a checkpoint or moves to a new
+  /// queue holder keeps its place by it; the queue limit doesn't apply to it.
+  Milliseconds age{0};
 
   bool operator==(const SlotRequest&) const = default;
 };
@@ -41,4 +47,100 @@
   kCancelled,
 };
 
+/// Identifies a submitted request until it is granted or refused. The default value is invalid.
+struct SlotTicket {
+  std::uint64_t id = 0;
+
+  bool valid() const { return id != 0; }
+  auto operator<=>(const SlotTicket&) const = default;
+};
+
+/// The one answer to a submitted request: a grant, or the reason of the refusal.
+using SlotResult = std::variant<SlotGrant, Reason>;
+using SlotCallback = std::function<void(const SlotResult&)>;
+
+/// Asks the holder of a long grant to checkpoint its work and to release the grant with
+/// kCheckpointed.
+using CheckpointHandler = std::function<void(const SlotGrant&)>;
+
+/// Cancels a waiting Acquire from another thread. One token serves one Acquire. Thread-safe.
+class CancelToken {
+ public:
+  /// A later or waiting Acquire with this token returns kNotRunCancelled, unless its grant has
+  /// already been decided.
+  void Cancel();
+
+ private:
+  friend class SlotAllocator;
+  /// @returns false when the token is already cancelled.
+  bool Attach(std::function<void()> action);
+  void Detach();
+
+  std::mutex m_mutex;
+  bool m_cancelled = false;
+  std::function<void()> m_action;
+};
+
+/// Options of a SlotAllocator.
+struct SlotAllocatorOptions {
+  DataCentreName data_centre;
+  /// Called on the allocator's own threads without a lock held; must not block.
+  CheckpointHandler on_checkpoint = nullptr;
+};
+
+/// Counters of a SlotAllocator.
+struct SlotAllocatorStats {
+  std::size_t waiting_short = 0;
+  std::size_t waiting_long = 0;
+  std::size_t in_use = 0;  ///< Grants that have not been released.
+  std::uint64_t granted = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t cancelled = 0;
+  std::uint64_t checkpoints = 0;
+
+  bool operator==(const SlotAllocatorStats&) const = default;
+};
+
+/// Grants upstream slots of one data centre. Thread-safe.
+class SlotAllocator {
+ public:
+  /// @param clock must outlive the allocator.
+  SlotAllocator(const Clock& clock, SlotAllocatorOptions options);
+  ~SlotAllocator();
+  SlotAllocator(const SlotAllocator&) = delete;
+  SlotAllocator& operator=(const SlotAllocator&) = delete;
+
+  /// Puts a fleet view in force. Until the first view every service is unknown.
+  void SetView(std::shared_ptr<const FleetView> view);
+
+  /// Queues a request without blocking.
+  /// @param done called exactly once without a lock held, possibly before Submit returns; it must
+  /// not block.
+  SlotTicket Submit(const SlotRequest& request, SlotCallback done);
+
+  /// Refuses a waiting request with kNotRunCancelled.
+  /// @returns false when its answer has already been decided; a grant is then the submitter's to
+  /// release.
+  bool Cancel(SlotTicket ticket);
+
+  /// Blocks until the request is granted or refused.
+  /// @param reason receives kNotRunOverload, kNotRunDeadline, kNotRunNoUpstream,
+  /// kNotRunCancelled, kNotRunStopping or kUnknownService.
+  std::optional<SlotGrant> Acquire(const SlotRequest& request, Reason* reason,
+                                   CancelToken* token = nullptr);
+
+  /// Gives a slot back. A grant that was released before is ignored.
+  /// @param run_time time for which the work ran in this grant.
+  void Release(const SlotGrant& grant, SlotOutcome outcome, Milliseconds run_time);
+
+  /// Refuses the waiting requests and every later one with kNotRunStopping.
+  void Stop();
+
+  SlotAllocatorStats Stats() const;
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
 }  // namespace endivewood
--- /dev/null
+++ b/tests/slot_allocator_test.cc
@@ -0,0 +1,62 @@
+/// @file
+/// The blocking front of the slot decisions.
+#include "slot_allocator.h"
+
+#include <catch2/catch.hpp>
+
+#include "dispatch_fixture.h"
+
+namespace endivewood::testing {
+namespace {
+
+constexpr Milliseconds kRunTime(10);
+
+std::unique_ptr<SlotAllocator> MakeAllocator(const Clock& clock, const FleetView& view) {
+  auto allocator =
+      std::make_unique<SlotAllocator>(clock, SlotAllocatorOptions{.data_centre = Here()});
+  allocator->SetView(std::make_shared<FleetView>(view));
+  return allocator;
+}
+
+// Guards against a slot that is granted twice and against a release that frees two slots.
+TEST_CASE("slots are granted up to the slot count and freed once") {
+  Clock clock;
+  clock.Pause();
+  const auto allocator = MakeAllocator(clock, MakeView({.instances = 1, .slots = 2}));
+  const SlotRequest request{.service = Quick()};
+  const auto first = allocator->Acquire(request, nullptr);
+  const auto second = allocator->Acquire(request, nullptr);
+  REQUIRE(first);
+  REQUIRE(second);
+  std::atomic<int> answers{0};
+  const SlotTicket third = allocator->Submit(request, [&](const SlotResult&) { ++answers; });
+  allocator->Release(*first, SlotOutcome::kSucceeded, kRunTime);
+  allocator->Release(*first, SlotOutcome::kSucceeded, kRunTime);
+  CHECK(answers == 1);
+  CHECK_FALSE(allocator->Cancel(third));
+  CHECK(allocator->Stats().in_use == 2);
+}
+
+// Guards against a waiting caller that can't be cancelled or that waits past its deadline.
+TEST_CASE("a waiting acquire ends by cancellation, by its deadline and by a stop") {
+  Clock clock;
+  clock.Pause();
+  const auto allocator = MakeAllocator(clock, MakeView({.instances = 1, .slots = 1}));
+  REQUIRE(allocator->Acquire({.service = Quick()}, nullptr));
+  const auto outcome = [&](const std::function<void()>& end, CancelToken* token) {
+    Reason reason;
+    std::thread waiter([&] { allocator->Acquire({.service = Quick()}, &reason, token); });
+    while (allocator->Stats().waiting_short == 0) std::this_thread::yield();
+    end();
+    waiter.join();
+    return reason.code;
+  };
+  CancelToken token;
+  CHECK(outcome([&] { token.Cancel(); }, &token) == ResultCode::kNotRunCancelled);
+  CHECK(outcome([&] { clock.Advance(Milliseconds(2000)); }, nullptr) ==
+        ResultCode::kNotRunDeadline);
+  CHECK(outcome([&] { allocator->Stop(); }, nullptr) == ResultCode::kNotRunStopping);
+}
+
+}  // namespace
+}  // namespace endivewood::testing
