Add numbered log events with a checked catalogue

Cause: processes log nothing, and no page says what a number means. Values with spaces or control characters are escaped, so that a caller's text can't forge an event. Conclusion: other parts can log through src/events.h.

--- /dev/null
+++ b/src/events.h
@@ -0,0 +1,153 @@
+/// @file
+/// Numbered log events. The table in events.cc is the one place that defines them; docs/events.md
+/// is the catalogue for operators.
+#pragma once
+
+#include <endivewood/endivewood.h>
+
+#include <concepts>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace endivewood {
+
+/// Severity of an event, from the most detailed to the most severe.
+enum class EventLevel : std::uint8_t { kDebug = 0, kInfo, kWarning, kError };
+
+/// @returns "debug", "info", "warning" or "error".
+const char* EventLevelName(EventLevel level);
+
+/// @returns the level of a name, or no value.
+std::optional<EventLevel> ParseEventLevel(const std::string& name);
+
+/// The events. A number is never given to another event, because operators' alerts refer to it.
+enum class Event : int {
+  // The process.
+  kProcessStarted = 100,
+  kProcessStopping = 101,
+  kProcessStopped = 102,
+  kSettingsInvalid = 103,
+  kListenerFailed = 104,
+  kDumpRequested = 105,
+  // The platform and the streams.
+  kPlatformLost = 200,
+  kPlatformRestored = 201,
+  kOffsetExpired = 202,
+  kAppendResolved = 203,
+  kAppendFailed = 204,
+  kMalformedRecord = 205,
+  kSnapshotTaken = 206,
+  kSnapshotRestored = 207,
+  kInstanceListStale = 208,
+  // Fleet records.
+  kRecordAccepted = 300,
+  kRecordRejected = 301,
+  kConfigInForce = 302,
+  kPresetInForce = 303,
+  kInstanceMoved = 304,
+  kWaveStarted = 305,
+  kWavePaused = 306,
+  kWaveResumed = 307,
+  kWaveFinished = 308,
+  kChangeProposed = 309,
+  kPlannerWaiting = 310,
+  kBudgetExhausted = 311,
+  kInstanceLost = 312,
+  kRebootFailed = 313,
+  // Requests.
+  kRequestAnswered = 400,
+  kRequestRefused = 401,
+  kRequestFailed = 402,
+  kRequestRetried = 403,
+  kRequestUnknown = 404,
+  kRequestCancelled = 405,
+  kKeyClaimed = 406,
+  kKeyFenced = 407,
+  kLongAccepted = 408,
+  kLongTakenOver = 409,
+  kLongFinished = 410,
+  kLongCheckpointed = 411,
+  kLongResumed = 412,
+  kRequestDemoted = 413,
+  kJobStopped = 414,
+  kRetryBudgetSpent = 415,
+  // Upstreams.
+  kUpstreamEjected = 500,
+  kUpstreamReadmitted = 501,
+  kEjectionCapped = 502,
+  kUpstreamSilent = 503,
+  kUpstreamMismatch = 504,
+  kUpstreamRefused = 505,
+  // Peers and queues.
+  kPeerConnected = 600,
+  kPeerLost = 601,
+  kPeerLeft = 602,
+  kPeerProtocolError = 603,
+  kQueueHolderChanged = 604,
+  kGrantsReleased = 605,
+  kRecordsRelayed = 606,
+};
+
+/// A row of the event table.
+struct EventInfo {
+  Event event;
+  const char* name;
+  EventLevel level;
+};
+
+/// @returns every event, in numerical order.
+const std::vector<EventInfo>& EventTable();
+
+/// @returns the row of an event.
+const EventInfo& EventInfoOf(Event event);
+
+/// One "name=value" of an event line.
+struct EventField {
+  EventField(const char* field, std::string text) : name(field), value(std::move(text)) {}
+  EventField(const char* field, const char* text) : name(field), value(text) {}
+  EventField(const char* field, bool flag) : name(field), value(flag ? "true" : "false") {}
+  EventField(const char* field, std::integral auto number)
+      : name(field), value(std::to_string(number)) {}
+  EventField(const char* field, Milliseconds duration)
+      : name(field), value(std::to_string(duration.count())) {}
+  EventField(const char* field, ResultCode code) : name(field), value(ResultCodeName(code)) {}
+  EventField(const char* field, const Endpoint& endpoint) : name(field), value(endpoint.str()) {}
+  template <typename Tag>
+  EventField(const char* field, const Name<Tag>& typed) : name(field), value(typed.str()) {}
+
+  const char* name;
+  std::string value;
+};
+
+/// @returns the field that carries the request id in every event about a request.
+inline EventField RequestField(std::string request_id) {
+  return {"request", std::move(request_id)};
+}
+
+/// Where and what a process logs.
+struct EventLogOptions {
+  std::string process;
+  DataCentreName data_centre;
+  EventLevel level = EventLevel::kInfo;
+  std::string file;  ///< Empty: standard error.
+};
+
+/// Sets up the log. Without it events of level info and above go to standard error.
+/// @attention call it before other threads log.
+/// @param reason kFileUnreadable when the file can't be opened for writing; standard error is used.
+bool ConfigureEventLog(const EventLogOptions& options, Reason* reason);
+
+/// @returns whether an event would be written, so that a caller may skip costly fields.
+bool IsEventEnabled(Event event);
+
+/// Writes one line: time (UTC), level, number, name, data centre, process and the fields.
+/// Thread-safe.
+void LogEvent(Event event, const std::vector<EventField>& fields = {});
+
+/// @returns the part of the line that follows the time. Values that hold spaces, quotes or control
+/// characters are quoted and escaped, so that a caller's text can't forge a second event.
+std::string FormatEvent(Event event, const EventLogOptions& options,
+                        const std::vector<EventField>& fields);
+
+}  // namespace endivewood
