--- a/src/config.h
+++ b/src/config.h
@@ -45,4 +45,32 @@
 /// Milliseconds between two checks for expired deadlines.
 inline constexpr std::int64_t kDispatchTickMs = 5;
 
+/// Distinct instances on which a job may fail. Two failures can be two faulty instances of one
+/// rack; a third makes the job itself the likely cause.
+inline constexpr std::size_t kNotRunnableFailures = 3;
+
+/// Milliseconds that short work runs at most; longer work is demoted to the long class. Callers
+/// wait for short work, and a second is where a person notices the wait.
+inline constexpr std::int64_t kShortRunLimitMs = 1000;
+
+/// Milliseconds assumed for a checkpoint until the first one has been observed.
+inline constexpr std::int64_t kCheckpointGuessMs = 100;
+
+/// Milliseconds after which an unanswered checkpoint request no longer counts as a slot to come.
+inline constexpr std::int64_t kCheckpointTimeoutMs = 2000;
+
+/// Milliseconds without new grants after an upstream refused as busy: its slots are taken by
+/// requests that this queue doesn't know, and a short request lasts about this long.
+inline constexpr std::int64_t kBusyPauseMs = 50;
+
+/// Milliseconds without new grants after an upstream refused as draining or was not reached. The
+/// fleet view shows a planned change within 2 s, and failures lead to ejection.
+inline constexpr std::int64_t kUnavailablePauseMs = 500;
+
+/// Milliseconds over which the arrival rate of short work is averaged. Peaks last for seconds.
+inline constexpr double kArrivalWindowMs = 1000.0;
+
+/// Observations over which the run time and the class of a service are averaged.
+inline constexpr double kRunTimeWindow = 20.0;
+
 }  // namespace endivewood::config
--- a/src/slot_allocator.h
+++ b/src/slot_allocator.h
@@ -15,11 +15,14 @@
   WorkClass work_class = WorkClass::kShort;
   /// The request is refused when it has not started after this time.
   Milliseconds queue_deadline{2000};
-  /// Upstreams on which this request has already failed.
+  /// Upstreams that ran this request and failed it; not those that refused or were not reached.
   std::vector<InstanceName> avoid;
   /// Time since the request first arrived. Work that resumes after a checkpoint or moves to a new
   /// queue holder keeps its place by it; the queue limit doesn't apply to it.
   Milliseconds age{0};
+  /// False keeps the request off an upstream that is on trial after an ejection. Set it for work
+  /// that can't be repeated.
+  bool trial_allowed = true;
 
   bool operator==(const SlotRequest&) const = default;
 };
@@ -30,6 +33,7 @@
   InstanceName upstream;
   Endpoint endpoint;
   std::uint64_t assignment = 0;  ///< The upstream refuses requests of another assignment.
+  WorkClass work_class = WorkClass::kShort;  ///< The class that the queue applied.
 
   bool valid() const { return id != 0; }
   bool operator==(const SlotGrant&) const = default;
