--- a/include/endivewood/endivewood.h
+++ b/include/endivewood/endivewood.h
@@ -462,8 +462,9 @@
 /// Not thread-safe; the views it hands out are immutable and may be shared.
 class FleetFold {
  public:
-  /// Applies the record at `offset`. Offsets must not go back; a gap is allowed only before a
-  /// snapshot.
+  /// Applies the record at `offset`. Offsets must not go back; a reader that has a gap restores a
+  /// newer state first. A snapshot is accepted only when no record lies between the state that it
+  /// covers and itself, and when that state equals this fold's. No snapshot changes the view.
   Verdict Apply(std::uint64_t offset, const std::string& payload);
 
   /// @returns the present view. Building it copies the state, so call it once per batch.
@@ -477,6 +478,8 @@
   bool Restore(const std::string& state);
 
  private:
+  Verdict CheckSnapshot(std::uint64_t offset, const SnapshotTaken& snapshot) const;
+
   FleetView m_view;
   std::vector<RecordId> m_recent_ids;  ///< Bounded; detects an append that was repeated.
 };
--- a/src/codec.h
+++ b/src/codec.h
@@ -33,6 +33,25 @@
     }
   };
 
+  /// Durations travel as whole milliseconds.
+  template <>
+  struct convert<endivewood::Milliseconds> {
+    const msgpack::object& operator()(const msgpack::object& object,
+                                      endivewood::Milliseconds& value) const {
+      value = endivewood::Milliseconds(object.as<std::int64_t>());
+      return object;
+    }
+  };
+
+  template <>
+  struct pack<endivewood::Milliseconds> {
+    template <typename Stream>
+    msgpack::packer<Stream>& operator()(msgpack::packer<Stream>& packer,
+                                        const endivewood::Milliseconds& value) const {
+      return packer.pack(static_cast<std::int64_t>(value.count()));
+    }
+  };
+
   }  // namespace adaptor
 }
 }  // namespace msgpack
--- a/src/config.h
+++ b/src/config.h
@@ -38,4 +38,18 @@
 /// Milliseconds after which an unanswered platform call counts as failed.
 inline constexpr std::int64_t kPlatformTimeoutMs = 2000;
 
+/// Records after which a new snapshot is appended. A reader folds at most about twice as many
+/// records before it serves, which takes a few milliseconds.
+inline constexpr std::uint64_t kSnapshotEveryRecords = 256;
+
+/// Milliseconds after which a snapshot is appended again: a third of the shortest retention that
+/// the log service must have (the 600 s of idempotency keys), so that two are always retained.
+inline constexpr std::int64_t kSnapshotMaxAgeMs = 200000;
+
+/// Milliseconds by which each further entry waits for a better ranked one to append a snapshot.
+inline constexpr std::int64_t kSnapshotRankMs = 3000;
+
+/// Milliseconds between two attempts of one entry: an append is resolved within its timeout.
+inline constexpr std::int64_t kSnapshotRetryMs = 2000;
+
 }  // namespace endivewood::config
--- a/src/fleet.cc
+++ b/src/fleet.cc
@@ -241,6 +241,8 @@
 
 Verdict FleetFold::Apply(std::uint64_t offset, const std::string& payload) {
   const auto record = DecodeFleetRecord(payload);
+  const auto* snapshot = record ? std::get_if<SnapshotTaken>(&record->change) : nullptr;
+  const Verdict snapshot_verdict = snapshot ? CheckSnapshot(offset, *snapshot) : Verdict{};
   m_view.next_offset = offset + 1;
   if (!record) return {.code = ResultCode::kInvalidRecord, .detail = "not a fleet record"};
   const bool repeated =
@@ -249,6 +251,7 @@
   if (m_recent_ids.size() >= config::kRecentRecordIds) m_recent_ids.erase(m_recent_ids.begin());
   m_recent_ids.push_back(record->id);
   Verdict verdict = std::visit(ChangeApplier(&m_view, record->expected_version), record->change);
+  if (snapshot) verdict = snapshot_verdict;
   verdict.id = record->id;
   return verdict;
 }
--- /dev/null
+++ b/tests/snapshot_test.cc
@@ -0,0 +1,120 @@
+/// @file
+/// Snapshots: encoding, acceptance and the search for the one to begin with.
+#include "snapshot.h"
+
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+
+#include "codec.h"
+#include "config.h"
+#include "fleet_stream.h"
+
+namespace endivewood::testing {
+namespace {
+
+// Guards against state that a snapshot leaves out: versions, waves, instances, and the record ids
+// by which a repeated append is recognised.
+TEST_CASE("the fold of a whole stream equals the fold from any snapshot on") {
+  CHECK(rc::check([] {
+    const auto stream = RandomStream(*rc::gen::inRange(20, 80), *rc::gen::arbitrary<unsigned>());
+    const auto cut = *rc::gen::inRange<std::size_t>(1, stream.size());
+    FleetFold whole;
+    std::string state;
+    for (std::size_t offset = 0; offset < cut; ++offset) whole.Apply(offset, stream[offset]);
+    FleetFold restored;
+    RC_ASSERT(restored.Restore(whole.Encode()));
+    for (std::size_t offset = cut; offset < stream.size(); ++offset) {
+      RC_ASSERT(whole.Apply(offset, stream[offset]) == restored.Apply(offset, stream[offset]));
+    }
+    RC_ASSERT(*whole.View() == *restored.View());
+    RC_ASSERT(whole.Encode() == restored.Encode());
+  }));
+}
+
+// Guards against a view that goes back, and against damaged states that are taken over in part.
+TEST_CASE("a fold takes over only whole states that are newer") {
+  const FleetFold older = FoldOf(RandomStream(20, 1));
+  FleetFold fold = FoldOf(RandomStream(30, 1));
+  const std::string before = fold.Encode();
+  CHECK_FALSE(fold.Restore(older.Encode()));
+  CHECK_FALSE(fold.Restore(before));
+  const std::string newer = FoldOf(RandomStream(40, 1)).Encode();
+  for (std::size_t size = 0; size < newer.size(); size += 7) {
+    CHECK_FALSE(fold.Restore(newer.substr(0, size)));
+  }
+  CHECK(fold.Encode() == before);
+  CHECK(fold.Restore(newer));
+}
+
+// Guards against a wrong or late snapshot that changes the view of a reader with a state, or that
+// a reader without one begins with.
+TEST_CASE("a wrong snapshot changes no view") {
+  const bool wrong_first = GENERATE(true, false);
+  FleetFold reader = FoldOf(RandomStream(30, 3));
+  std::vector<LogRecord> retained;
+  const auto append = [&](const std::string& payload) {
+    const std::uint64_t offset = reader.View()->next_offset;
+    retained.push_back({.offset = offset, .time_ms = 1, .payload = payload});
+    return reader.Apply(offset, payload);
+  };
+  const auto snapshot = [&](const std::string& state) {
+    return SnapshotRecord(reader.View()->next_offset, state);
+  };
+  const auto wrong_state = [&] {
+    FleetFold other = FoldOf(RandomStream(29, 4));
+    while (other.View()->next_offset < reader.View()->next_offset) {
+      other.Apply(other.View()->next_offset, "");
+    }
+    return other.Encode();
+  };
+  if (!wrong_first) CHECK(append(snapshot(reader.Encode())).accepted());
+  const auto versions = reader.View()->instances;
+  CHECK(append(snapshot(wrong_state())).code == ResultCode::kInvalidRecord);
+  CHECK(reader.View()->instances == versions);
+  const std::string late = snapshot(reader.Encode());
+  CHECK_FALSE(append(RandomStream(1, 9).front()).code == ResultCode::kInvalidRecord);
+  CHECK(append(late).code == ResultCode::kVersionConflict);
+  if (wrong_first) CHECK(append(snapshot(reader.Encode())).accepted());
+  CHECK(append(snapshot(reader.Encode())).accepted());
+
+  SnapshotSearch search;
+  for (const LogRecord& record : retained) search.Feed(record);
+  REQUIRE(search.Best() != nullptr);
+  CHECK(*search.Best()->fold.View() == *reader.View());
+  CHECK(search.Best()->marks.newest == retained.back().offset);
+}
+
+// Guards against a stream whose last state expires, against snapshots from every entry at once,
+// and against none when the first author is gone.
+TEST_CASE("a snapshot is appended by the first live entry and by the next when it does not") {
+  SnapshotInputs inputs{.next_offset = config::kSnapshotEveryRecords - 1,
+                        .unix_time = Milliseconds(1)};
+  CHECK_FALSE(SnapshotDue(inputs));
+  inputs.unix_time = Milliseconds(config::kSnapshotMaxAgeMs);
+  CHECK(SnapshotDue(inputs));
+  inputs.unix_time = Milliseconds(1);
+  ++inputs.next_offset;
+  CHECK(SnapshotDue(inputs));
+  inputs.marks = {.newest = 200, .second = 90, .time_ms = 1};
+  inputs.first_retained = 90;
+  CHECK_FALSE(SnapshotDue(inputs));
+  inputs.first_retained = 91;
+  CHECK(SnapshotDue(inputs));
+
+  const std::vector<std::string> live = {"a", "b", "c"};
+  std::map<std::string, SnapshotSchedule> schedules;
+  const auto authors = [&](std::int64_t now) {
+    std::vector<std::string> deciding;
+    for (const std::string& name : live) {
+      if (schedules[name].Decide(inputs, name, live, Milliseconds(now))) deciding.push_back(name);
+    }
+    return deciding.size();
+  };
+  CHECK(authors(0) == 1);
+  CHECK(authors(1) == 0);
+  CHECK(authors(config::kSnapshotRankMs) == 2);
+}
+
+}  // namespace
+}  // namespace endivewood::testing
