--- a/src/config.h
+++ b/src/config.h
@@ -38,4 +38,50 @@
 /// Milliseconds after which an unanswered platform call counts as failed.
 inline constexpr std::int64_t kPlatformTimeoutMs = 2000;
 
+// Request path.
+
+/// Milliseconds after the time in an idempotency key during which the key may be used. The design
+/// page states 600 s; it bounds the fold's state and lets records expire.
+inline constexpr std::int64_t kClaimRetentionMs = 600000;
+
+/// Milliseconds by which the clocks of callers, entries and the log service may differ.
+inline constexpr std::int64_t kClaimClockSkewMs = 60000;
+
+/// Milliseconds for which a fence is remembered. An author that is paused for longer reads its
+/// fence itself, or finds that the stream has expired, and takes a new incarnation.
+inline constexpr std::int64_t kFenceRetentionMs = 86400000;
+
+/// Bytes of recorded results that one process retains; an entry has 128 MB in all. The code of a
+/// result is always retained.
+inline constexpr std::size_t kMaxRetainedResultBytes = 32 << 20;
+
+/// Bytes of one result that is recorded with its body; larger results are recorded by code only.
+inline constexpr std::size_t kMaxRecordedResultBytes = 64 << 10;
+
+/// Keys that an entry holds before it starts no further claims: 600 s at 160 keys a second.
+inline constexpr std::size_t kMaxClaimKeys = 100000;
+
+/// Events that one append of claims carries at most.
+inline constexpr std::size_t kMaxClaimBatch = 256;
+
+/// Bytes of events that one append of claims carries at most, unless one event alone is larger.
+inline constexpr std::size_t kMaxClaimBatchBytes = 512 << 10;
+
+/// Appends of claims that one entry makes in a second: nine entries share the log service's
+/// several hundred with the other streams.
+inline constexpr std::int64_t kClaimAppendsPerSecond = 30;
+
+/// Appends of claims that an entry may make at once after an idle time.
+inline constexpr std::int64_t kClaimAppendBurst = 10;
+
+/// Milliseconds that a request waits for its claim to appear in the stream before it gives up.
+inline constexpr std::int64_t kClaimTimeoutMs = 3000;
+
+/// Milliseconds between the signs of life of an entry that holds or waits for a claim.
+inline constexpr std::int64_t kSignOfLifeMs = 1000;
+
+/// Milliseconds of log time without a sign of life after which an incarnation is fenced. Five
+/// missed signs; a wrong fence costs an "unknown effect" answer, never a second run.
+inline constexpr std::int64_t kFenceAfterMs = 5000;
+
 }  // namespace endivewood::config
