--- a/include/endivewood/endivewood.h
+++ b/include/endivewood/endivewood.h
@@ -481,4 +481,49 @@
   std::vector<RecordId> m_recent_ids;  ///< Bounded; detects an append that was repeated.
 };
 
+// ---------------------------------------------------------------------------------------------
+// Stats and caps
+
+/// Requests of one class.
+struct ClassStats {
+  std::uint64_t requests = 0;
+  std::uint64_t not_run = 0;  ///< Refused with a code from 200 to 299.
+  std::uint64_t failed = 0;   ///< Answered with a code from 300 to 399.
+  double wait_p50_ms = 0;
+  double wait_p99_ms = 0;
+  double latency_p50_ms = 0;
+  double latency_p99_ms = 0;
+
+  bool operator==(const ClassStats&) const = default;
+};
+
+/// What a process has done since it started.
+struct Stats {
+  ClassStats short_work;
+  ClassStats long_work;
+  std::uint64_t retries = 0;
+  std::uint64_t ejections = 0;
+  std::uint64_t checkpoints = 0;
+  std::int64_t queue_depth = 0;
+  std::int64_t requests_in_progress = 0;
+  std::int64_t offset_behind = 0;  ///< Records of the fleet stream that are not applied yet.
+
+  bool operator==(const Stats&) const = default;
+};
+
+/// The limits that this build was compiled with.
+struct Caps {
+  std::string version;
+  std::size_t max_body_bytes = 0;
+  std::size_t max_header_bytes = 0;
+  unsigned max_http_threads = 0;
+  std::size_t recent_record_ids = 0;
+  Milliseconds platform_timeout{0};
+
+  bool operator==(const Caps&) const = default;
+};
+
+/// @returns the limits of this build.
+Caps GetCaps();
+
 }  // namespace endivewood
