--- /dev/null
+++ b/src/dump.h
@@ -0,0 +1,70 @@
+/// @file
+/// The JSON state dump of a process, built from typed values, and the control listener's answers.
+#pragma once
+
+#include <endivewood/endivewood.h>
+
+#include <string>
+#include <vector>
+
+#include "endivewood_p.h"
+#include "metrics.h"
+#include "settings.h"
+
+namespace endivewood {
+
+/// A named number that a subsystem adds to the dump, such as the depth of one queue.
+struct DumpValue {
+  std::string name;
+  std::int64_t value = 0;
+
+  bool operator==(const DumpValue&) const = default;
+};
+
+/// What a process shows of itself.
+struct ProcessDump {
+  std::string process;
+  DataCentreName data_centre;
+  Incarnation incarnation;
+  bool connected = false;  ///< To the platform.
+  std::shared_ptr<const FleetView> view;
+  Stats stats;
+  std::vector<DumpValue> subsystems;
+};
+
+/// @returns "running", "paused" or "finished".
+const char* WaveStateName(WaveState state);
+
+/// @returns the dump as one line of JSON.
+std::string EncodeDump(const ProcessDump& dump);
+
+/// The facts of a dump that operators' tools read.
+struct DumpSummary {
+  std::string process;
+  std::string data_centre;
+  bool connected = false;
+  std::uint64_t next_offset = 0;
+  std::uint64_t config_version = 0;
+  std::uint64_t preset_version = 0;
+  std::uint64_t wave_version = 0;
+  std::string preset;
+
+  bool operator==(const DumpSummary&) const = default;
+};
+
+/// @returns the summary, or no value when the text is not a dump.
+std::optional<DumpSummary> DecodeDumpSummary(const std::string& json);
+
+/// What the control listener of a process needs.
+struct ControlSources {
+  const ProcessSettings& settings;
+  const Incarnation& incarnation;
+  const FleetFollower& follower;
+  const Metrics& metrics;
+  std::vector<DumpValue> subsystems = {};
+};
+
+/// Answers GET /health, /dump and /metrics of the control listener.
+HttpReply AnswerControl(const HttpRequest& request, const ControlSources& sources);
+
+}  // namespace endivewood
--- a/src/entry.cc
+++ b/src/entry.cc
@@ -3,6 +3,7 @@
 #include "entry.h"
 
 #include "config.h"
+#include "dump.h"
 
 namespace endivewood {
 namespace {
@@ -105,15 +106,10 @@
 }
 
 HttpReply Entry::HandleControl(const HttpRequest& request) {
-  const auto view = m_follower.View();
-  if (request.path == "/health") return Answer(ResultCode::kOk);
-  if (request.path != "/dump") return Answer(ResultCode::kMalformedRequest);
-  const std::string body = "{\"process\":\"" + m_settings.name + "\",\"data_centre\":\"" +
-                           m_settings.data_centre.str() +
-                           "\",\"next_offset\":" + std::to_string(view->next_offset) +
-                           ",\"config_version\":" + std::to_string(view->config_version) +
-                           ",\"preset\":\"" + view->preset.str() + "\"}";
-  return {.status = 200, .headers = {{"Content-Type", "application/json"}}, .body = body};
+  return AnswerControl(request, {.settings = m_settings,
+                                 .incarnation = m_incarnation,
+                                 .follower = m_follower,
+                                 .metrics = m_metrics});
 }
 
 }  // namespace endivewood
--- a/src/entry.h
+++ b/src/entry.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "endivewood_p.h"
+#include "metrics.h"
 #include "settings.h"
 
 namespace endivewood {
@@ -30,6 +31,7 @@
 
   ProcessSettings m_settings;
   Incarnation m_incarnation;
+  Metrics m_metrics;
   FleetFollower m_follower;
   std::atomic<std::uint64_t> m_next_upstream{0};
   std::mutex m_mutex;
