--- a/src/endivewood_p.h
+++ b/src/endivewood_p.h
@@ -5,6 +5,8 @@
 #include <endivewood/endivewood.h>
 
 #include <atomic>
+#include <condition_variable>
+#include <deque>
 #include <memory>
 #include <string>
 #include <thread>
@@ -110,6 +112,8 @@
   std::uint64_t offset = 0;
   std::int64_t time_ms = 0;  ///< Unix time of the append, from the service.
   std::string payload;
+
+  bool operator==(const LogRecord&) const = default;
 };
 
 /// One read of a stream.
@@ -122,7 +126,8 @@
 /// Client of the platform's log service. Thread-safe.
 class LogClient {
  public:
-  LogClient(Endpoint platform, Incarnation author);
+  /// @param data_centre sent with every call when it is valid.
+  LogClient(Endpoint platform, Incarnation author, DataCentreName data_centre = {});
 
   /// Appends a record.
   /// @param reason kPlatformUnreachable when the record was surely not appended, kAppendUncertain
@@ -139,14 +144,43 @@
  private:
   Endpoint m_platform;
   Incarnation m_author;
+  DataCentreName m_data_centre;
+};
+
+/// The state of a follower as a peer takes it over.
+struct FollowerState {
+  std::string state;                  ///< Encoded by FleetFold::Encode.
+  std::uint64_t newest_snapshot = 0;  ///< Offset after the newest accepted snapshot, 0 for none.
+  std::uint64_t second_snapshot = 0;  ///< The same of the one before.
+  std::int64_t snapshot_time_ms = 0;
+
+  bool operator==(const FollowerState&) const = default;
+};
+
+/// The accepted snapshots that a reader knows.
+struct SnapshotMarks {
+  std::optional<std::uint64_t> newest;  ///< Offset of the newest accepted snapshot record.
+  std::optional<std::uint64_t> second;  ///< Offset of the accepted one before.
+  /// Unix time of the newest, or of the first record while there is none.
+  std::int64_t time_ms = 0;
+
+  void Note(const LogRecord& record, const Verdict& verdict);
+  bool operator==(const SnapshotMarks&) const = default;
+};
+
+/// Options of a FleetFollower.
+struct FollowerOptions {
+  /// Time to wait for a peer's state when the next offset has expired.
+  Milliseconds peer_state_wait{0};
 };
 
-/// Follows the fleet stream on a thread of its own and publishes immutable views.
+/// Follows the fleet stream on a thread of its own and publishes immutable views. Records also come
+/// from peers; both sources go through the same fold in log order, and the view never goes back.
 class FleetFollower {
  public:
   using VerdictHandler = std::function<void(std::uint64_t offset, const Verdict&)>;
 
-  FleetFollower(LogClient client, VerdictHandler on_verdict);
+  FleetFollower(LogClient client, VerdictHandler on_verdict, FollowerOptions options = {});
   ~FleetFollower();
   FleetFollower(const FleetFollower&) = delete;
   FleetFollower& operator=(const FleetFollower&) = delete;
@@ -159,16 +193,46 @@
 
   void Stop();
 
+  /// Waits until the view includes the record at `offset`, for at most `limit`.
+  bool WaitFor(std::uint64_t offset, Milliseconds limit) const;
+
+  /// @returns the state for a peer.
+  FollowerState State() const;
+
+  /// Takes over the state of a peer when it is newer.
+  bool RestoreState(const FollowerState& state);
+
+  /// @returns kept records from an offset on, or no value when the first of them is not kept.
+  std::optional<std::vector<LogRecord>> KeptRecords(std::uint64_t from) const;
+
+  /// Applies records of the log or of a peer. Known ones are passed over; a gap ends it.
+  void ApplyRecords(const std::vector<LogRecord>& records);
+
+  SnapshotMarks Marks() const;
+
+  /// @returns the oldest offset that the log service retained at the last read.
+  std::uint64_t FirstRetained() const { return m_first_retained; }
+
  private:
   void Run();
-  void ApplyBatch(const LogBatch& batch);
+  void Recover(std::uint64_t first_retained);
+  void SearchSnapshot(std::uint64_t first_retained);
+  void Keep(const LogRecord& record);
+  void Publish();
+  bool Pause(Milliseconds duration);
 
   LogClient m_client;
   VerdictHandler m_on_verdict;
+  FollowerOptions m_options;
+  mutable std::mutex m_fold_mutex;  ///< Guards the members up to m_kept_bytes.
   FleetFold m_fold;
-  std::uint64_t m_next = 0;
-  mutable std::mutex m_mutex;
+  SnapshotMarks m_marks;
+  std::deque<LogRecord> m_kept;
+  std::size_t m_kept_bytes = 0;
+  mutable std::mutex m_mutex;  ///< Guards m_view; taken after m_fold_mutex.
+  mutable std::condition_variable m_changed;
   std::shared_ptr<const FleetView> m_view;
+  std::atomic<std::uint64_t> m_first_retained{0};
   std::atomic<bool> m_connected{false};
   std::atomic<bool> m_stopping{false};
   std::thread m_thread;
--- a/src/follower.cc
+++ b/src/follower.cc
@@ -1,13 +1,27 @@
 /// @file
 /// Follows the fleet stream and publishes immutable views.
+#include <charconv>
+
 #include "config.h"
 #include "endivewood_p.h"
+#include "snapshot.h"
 
 namespace endivewood {
+namespace {
+
+/// @returns the offset in the text of a kOffsetExpired reason.
+std::uint64_t FirstOffsetOf(const Reason& reason) {
+  std::uint64_t offset = 0;
+  std::from_chars(reason.text.data(), reason.text.data() + reason.text.size(), offset);
+  return offset;
+}
+
+}  // namespace
 
-FleetFollower::FleetFollower(LogClient client, VerdictHandler on_verdict)
+FleetFollower::FleetFollower(LogClient client, VerdictHandler on_verdict, FollowerOptions options)
     : m_client(std::move(client)),
       m_on_verdict(std::move(on_verdict)),
+      m_options(options),
       m_view(std::make_shared<const FleetView>()),
       m_thread([this] { Run(); }) {}
 
@@ -19,34 +33,139 @@
 }
 
 void FleetFollower::Stop() {
-  m_stopping = true;
+  {
+    std::lock_guard lock(m_mutex);
+    m_stopping = true;
+  }
+  m_changed.notify_all();
   if (m_thread.joinable()) m_thread.join();
 }
 
+bool FleetFollower::WaitFor(std::uint64_t offset, Milliseconds limit) const {
+  std::unique_lock lock(m_mutex);
+  m_changed.wait_for(lock, limit, [&] { return m_view->next_offset > offset || m_stopping; });
+  return m_view->next_offset > offset;
+}
+
+bool FleetFollower::Pause(Milliseconds duration) {
+  std::unique_lock lock(m_mutex);
+  return m_changed.wait_for(lock, duration, [&] { return m_stopping.load(); });
+}
+
 void FleetFollower::Run() {
   while (!m_stopping) {
     Reason reason;
-    const auto batch = m_client.Read("fleet", m_next, config::kFollowBatch,
+    const auto batch = m_client.Read("fleet", View()->next_offset, config::kFollowBatch,
                                      Milliseconds(config::kFollowWaitMs), &reason);
-    m_connected = batch.has_value();
+    m_connected = batch.has_value() || reason.code == ResultCode::kOffsetExpired;
     if (batch) {
-      ApplyBatch(*batch);
+      m_first_retained = batch->first_offset;
+      ApplyRecords(batch->records);
+    } else if (reason.code == ResultCode::kOffsetExpired) {
+      Recover(FirstOffsetOf(reason));
     } else {
-      std::this_thread::sleep_for(Milliseconds(config::kFollowRetryMs));
+      Pause(Milliseconds(config::kFollowRetryMs));
     }
   }
 }
 
-void FleetFollower::ApplyBatch(const LogBatch& batch) {
-  if (batch.records.empty()) return;
-  for (const LogRecord& record : batch.records) {
+void FleetFollower::Recover(std::uint64_t first_retained) {
+  m_first_retained = first_retained;
+  // Offset 0 can't have expired, so the first retained offset has a predecessor.
+  if (first_retained > 0 && WaitFor(first_retained - 1, m_options.peer_state_wait)) return;
+  SearchSnapshot(first_retained);
+}
+
+void FleetFollower::SearchSnapshot(std::uint64_t first_retained) {
+  SnapshotSearch search;
+  std::uint64_t next = first_retained;
+  while (!m_stopping) {
+    Reason reason;
+    const auto batch = m_client.Read("fleet", next, config::kFollowBatch, Milliseconds(0), &reason);
+    if (!batch) break;
+    for (const LogRecord& record : batch->records) search.Feed(record);
+    next = batch->next_offset;
+    if (batch->records.empty()) break;
+  }
+  const SnapshotSearch::Candidate* best = search.Best();
+  if (best == nullptr) {
+    Pause(Milliseconds(config::kFollowRetryMs));
+    return;
+  }
+  std::lock_guard lock(m_fold_mutex);
+  if (best->fold.View()->next_offset <= m_fold.View()->next_offset) return;
+  m_fold = best->fold;
+  m_marks = best->marks;
+  m_kept.clear();
+  m_kept_bytes = 0;
+  Publish();
+}
+
+void FleetFollower::ApplyRecords(const std::vector<LogRecord>& records) {
+  if (records.empty()) return;
+  std::lock_guard lock(m_fold_mutex);
+  std::uint64_t next = View()->next_offset;
+  for (const LogRecord& record : records) {
+    if (record.offset < next) continue;
+    if (record.offset > next) break;
     const Verdict verdict = m_fold.Apply(record.offset, record.payload);
+    m_marks.Note(record, verdict);
+    Keep(record);
     if (m_on_verdict) m_on_verdict(record.offset, verdict);
+    ++next;
+  }
+  if (next > View()->next_offset) Publish();
+}
+
+FollowerState FleetFollower::State() const {
+  std::lock_guard lock(m_fold_mutex);
+  return {.state = m_fold.Encode(),
+          .newest_snapshot = m_marks.newest ? *m_marks.newest + 1 : 0,
+          .second_snapshot = m_marks.second ? *m_marks.second + 1 : 0,
+          .snapshot_time_ms = m_marks.time_ms};
+}
+
+bool FleetFollower::RestoreState(const FollowerState& state) {
+  std::lock_guard lock(m_fold_mutex);
+  if (!m_fold.Restore(state.state)) return false;
+  m_marks = {.time_ms = state.snapshot_time_ms};
+  if (state.newest_snapshot > 0) m_marks.newest = state.newest_snapshot - 1;
+  if (state.second_snapshot > 0) m_marks.second = state.second_snapshot - 1;
+  m_kept.clear();
+  m_kept_bytes = 0;
+  Publish();
+  return true;
+}
+
+std::optional<std::vector<LogRecord>> FleetFollower::KeptRecords(std::uint64_t from) const {
+  std::lock_guard lock(m_fold_mutex);
+  if (m_kept.empty() || from < m_kept.front().offset) return std::nullopt;
+  if (from > m_kept.back().offset) return std::vector<LogRecord>();
+  const auto begin = m_kept.begin() + static_cast<std::ptrdiff_t>(from - m_kept.front().offset);
+  return std::vector<LogRecord>(begin, m_kept.end());
+}
+
+SnapshotMarks FleetFollower::Marks() const {
+  std::lock_guard lock(m_fold_mutex);
+  return m_marks;
+}
+
+void FleetFollower::Keep(const LogRecord& record) {
+  m_kept.push_back(record);
+  m_kept_bytes += record.payload.size();
+  while (m_kept.size() > config::kRelayRecords || m_kept_bytes > config::kRelayBytes) {
+    m_kept_bytes -= m_kept.front().payload.size();
+    m_kept.pop_front();
   }
-  m_next = batch.next_offset;
+}
+
+void FleetFollower::Publish() {
   auto view = m_fold.View();
-  std::lock_guard lock(m_mutex);
-  m_view = std::move(view);
+  {
+    std::lock_guard lock(m_mutex);
+    m_view = std::move(view);
+  }
+  m_changed.notify_all();
 }
 
 }  // namespace endivewood
--- a/src/log_client.cc
+++ b/src/log_client.cc
@@ -34,16 +34,19 @@
 
 }  // namespace
 
-LogClient::LogClient(Endpoint platform, Incarnation author)
-    : m_platform(std::move(platform)), m_author(std::move(author)) {}
+LogClient::LogClient(Endpoint platform, Incarnation author, DataCentreName data_centre)
+    : m_platform(std::move(platform)),
+      m_author(std::move(author)),
+      m_data_centre(std::move(data_centre)) {}
 
 std::optional<std::uint64_t> LogClient::Append(const std::string& stream,
                                                const std::string& payload, Reason* reason) const {
-  const HttpRequest request{.method = "POST",
-                            .path = "/log/" + stream,
-                            .query = "",
-                            .headers = {{"Author", m_author.str()}},
-                            .body = payload};
+  const HttpRequest request{
+      .method = "POST",
+      .path = "/log/" + stream,
+      .query = "",
+      .headers = {{"Author", m_author.str()}, {"Data-Centre", m_data_centre.str()}},
+      .body = payload};
   const HttpOutcome outcome = HttpCall(m_platform, request, kTimeout);
   if (!outcome.reply) {
     const bool not_sent = outcome.failure == CallFailure::kNotSent;
@@ -70,7 +73,7 @@
                             .query = "from=" + std::to_string(from) +
                                      "&max=" + std::to_string(max) +
                                      "&wait_ms=" + std::to_string(wait.count()),
-                            .headers = {},
+                            .headers = {{"Data-Centre", m_data_centre.str()}},
                             .body = ""};
   const HttpOutcome outcome = HttpCall(m_platform, request, wait + kTimeout);
   if (!outcome.reply) {
--- a/src/snapshot.h
+++ b/src/snapshot.h
@@ -7,17 +7,6 @@
 
 namespace endivewood {
 
-/// The accepted snapshots that a reader knows.
-struct SnapshotMarks {
-  std::optional<std::uint64_t> newest;  ///< Offset of the newest accepted snapshot record.
-  std::optional<std::uint64_t> second;  ///< Offset of the accepted one before.
-  std::int64_t time_ms =
-      0;  ///< Unix time of the newest, or of the first record while there is none.
-
-  void Note(const LogRecord& record, const Verdict& verdict);
-  bool operator==(const SnapshotMarks&) const = default;
-};
-
 /// Finds the state to begin with among the retained records. A snapshot record that differs from
 /// the fold of an earlier one starts a candidate of its own; later snapshots support the candidate
 /// that they equal. Two accepted snapshots are kept retained, so a single wrong one, which every
