Close the gaps in the fold's preconditions

Cause: A publication could raise a budget above the ready instances or move a service to a smaller pool; publishing again brought removed instances back as ready; a re-added instance started at version 1, so late records about its predecessor fitted it; drains and assignments decided for an earlier preset were accepted; a wave could end with instances not maintained; a fleet could have no preset. The id check searched and shifted a list of 4096 ids for each record, and each drain counted all instances.

Change: Budget check of publications per service; removed_version, from which new instances start; DrainStarted carries reason, basis and keep, InstanceAssigned a limit, WavePaused whether a planner resumes it; maintained_in is set by the reboot. RecentRecordIds holds the order and an index; ready counts are kept between records and counted again when the view was replaced (Restore). The first configuration puts its first preset in force. Records below next_offset have no effect.

--- a/include/endivewood/endivewood.h
+++ b/include/endivewood/endivewood.h
@@ -6,11 +6,13 @@
 #include <chrono>
 #include <compare>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -270,7 +272,10 @@
 // ---------------------------------------------------------------------------------------------
 // Fleet records
 
-/// Publishes a configuration. Expected version: that of the configuration.
+/// Publishes a configuration. Expected version: that of the configuration. Rejected when a service
+/// would come below its budget by it, or when no preset is in it. Instances that the configuration
+/// in force lists already are not introduced again, so that publishing doesn't bring removed
+/// instances back. The first configuration puts its first preset in force.
 struct ConfigPublished {
   std::string yaml;
 
@@ -284,7 +289,8 @@
   bool operator==(const PresetSwitched&) const = default;
 };
 
-/// Introduces an instance in the spare pool. Expected version: 0.
+/// Introduces an instance in the spare pool. Expected version: `FleetView::removed_version`, so
+/// that a late record doesn't bring back an instance that was removed after it was written.
 struct InstanceAdded {
   InstanceName instance;
   DataCentreName data_centre;
@@ -295,9 +301,22 @@
   bool operator==(const InstanceAdded&) const = default;
 };
 
-/// Starts a drain. Expected version: that of the instance. Rejected when it breaches a budget.
+/// Why an instance is drained.
+enum class DrainReason : std::uint8_t {
+  kOperator = 0,  ///< Also an instance that leaves.
+  kPreset,        ///< A move towards the preset in force.
+  kWave,          ///< Maintenance.
+};
+
+/// Starts a drain. Expected version: that of the instance. Rejected when it breaches a budget, or
+/// when it was decided for a preset or a state of the wave that is no longer in force.
 struct DrainStarted {
   InstanceName instance;
+  DrainReason reason = DrainReason::kOperator;
+  std::uint64_t basis = 0;  ///< The preset's or the wave's version; ignored for kOperator.
+  /// Rejected when fewer ready instances than this would remain in the pool. It keeps planners of
+  /// two data centres from moving one surplus instance each where there is only one.
+  int keep = 0;
 
   bool operator==(const DrainStarted&) const = default;
 };
@@ -309,11 +328,14 @@
   bool operator==(const RebootStarted&) const = default;
 };
 
-/// Returns a rebooted instance to service, in the same or another pool.
+/// Returns a rebooted or lost instance to service, in the same or another pool. A lost instance
+/// that was taken out of a pool with a budget may return as any other.
 /// Expected version: that of the instance.
 struct InstanceAssigned {
   InstanceName instance;
   PoolName pool;
+  /// Rejected when the pool has this many ready instances already; 0 means no limit.
+  int limit = 0;
 
   bool operator==(const InstanceAssigned&) const = default;
 };
@@ -344,6 +366,7 @@
 struct WavePaused {
   WaveName wave;
   std::string cause;
+  bool automatic = false;  ///< Paused by a planner, which also resumes it.
 
   bool operator==(const WavePaused&) const = default;
 };
@@ -354,6 +377,8 @@
   bool operator==(const WaveResumed&) const = default;
 };
 
+/// Ends a wave. A running wave ends when every instance that is not lost has been maintained; a
+/// paused wave may be ended at any time, which abandons it.
 struct WaveFinished {
   WaveName wave;
 
@@ -408,7 +433,7 @@
   InstanceState state = InstanceState::kReady;
   std::uint64_t version = 0;     ///< Raised by each record about this instance.
   std::uint64_t assignment = 0;  ///< Raised by each assignment; requests carry it.
-  /// Sequence number of the last wave that rebooted the instance.
+  /// Sequence number of the latest wave when the instance last rebooted or joined.
   std::uint64_t maintained_in = 0;
 
   bool operator==(const InstanceView&) const = default;
@@ -423,6 +448,7 @@
   WaveState state = WaveState::kFinished;
   std::uint64_t sequence = 0;
   std::string pause_cause;
+  bool automatic_pause = false;
 
   bool operator==(const WaveView&) const = default;
 };
@@ -436,6 +462,9 @@
   FleetConfig config;
   PresetName preset;
   WaveView wave;
+  /// The highest version of any removed instance. New instances start above it, so that a late
+  /// record about a removed instance never fits a new one of the same name.
+  std::uint64_t removed_version = 0;
   std::map<InstanceName, InstanceView> instances;
 
   /// @returns the instances of the service's pool that are ready.
@@ -444,6 +473,8 @@
   int ReadyCount(const PoolName& pool) const;
   /// @returns the largest min_available of the services that the pool serves.
   int RequiredAvailable(const PoolName& pool) const;
+  /// @returns whether the latest wave has still to reboot this instance.
+  bool AwaitsMaintenance(const InstanceView& instance) const;
 
   bool operator==(const FleetView&) const = default;
 };
@@ -458,6 +489,24 @@
   bool operator==(const Verdict&) const = default;
 };
 
+/// The ids of the latest records, in log order.
+class RecentRecordIds {
+ public:
+  /// Remembers an id and forgets the oldest one above the limit.
+  /// @returns false when the id is known already.
+  bool Insert(const RecordId& id);
+
+  /// @returns the ids, oldest first; a snapshot contains them.
+  const std::deque<RecordId>& InOrder() const { return m_order; }
+
+  /// Replaces the ids by those of a snapshot.
+  void Assign(const std::vector<RecordId>& ids);
+
+ private:
+  std::deque<RecordId> m_order;
+  std::set<RecordId> m_known;  ///< The same ids; a list of 4096 is too long to search per record.
+};
+
 /// Folds the fleet stream. Deterministic: the same records give the same view and verdicts.
 /// Not thread-safe; the views it hands out are immutable and may be shared.
 class FleetFold {
@@ -478,7 +527,10 @@
 
  private:
   FleetView m_view;
-  std::vector<RecordId> m_recent_ids;  ///< Bounded; detects an append that was repeated.
+  RecentRecordIds m_recent_ids;  ///< Detects an append that was repeated.
+  /// Ready instances of each pool as of `m_counted_offset`; counted again after Restore.
+  std::map<PoolName, int> m_ready_counts;
+  std::optional<std::uint64_t> m_counted_offset;
 };
 
 }  // namespace endivewood
--- a/src/fleet.cc
+++ b/src/fleet.cc
@@ -3,6 +3,7 @@
 #include <endivewood/endivewood.h>
 
 #include <algorithm>
+#include <set>
 
 #include "codec.h"
 #include "config.h"
@@ -49,31 +50,63 @@
   return required;
 }
 
+bool FleetView::AwaitsMaintenance(const InstanceView& instance) const {
+  if (wave.state == WaveState::kFinished) return false;
+  if (wave.pool.valid() && wave.pool != instance.pool) return false;
+  return instance.maintained_in < wave.sequence;
+}
+
+bool RecentRecordIds::Insert(const RecordId& id) {
+  if (!m_known.insert(id).second) return false;
+  m_order.push_back(id);
+  if (m_order.size() <= config::kRecentRecordIds) return true;
+  m_known.erase(m_order.front());
+  m_order.pop_front();
+  return true;
+}
+
+void RecentRecordIds::Assign(const std::vector<RecordId>& ids) {
+  m_order.assign(ids.begin(), ids.end());
+  m_known = std::set<RecordId>(ids.begin(), ids.end());
+}
+
 namespace {
 
-/// Applies one change to a view that the caller discards on rejection.
+using ReadyCounts = std::map<PoolName, int>;
+
+ReadyCounts CountReady(const FleetView& view) {
+  ReadyCounts counts;
+  for (const auto& [name, instance] : view.instances) {
+    if (instance.state == InstanceState::kReady) ++counts[instance.pool];
+  }
+  return counts;
+}
+
+int CountOf(const ReadyCounts& counts, const PoolName& pool) {
+  const auto found = counts.find(pool);
+  return found == counts.end() ? 0 : found->second;
+}
+
+/// Applies one change. A rejected change leaves the view and the counts as they were.
 class ChangeApplier {
  public:
-  ChangeApplier(FleetView* view, std::uint64_t expected) : m_view(view), m_expected(expected) {}
+  ChangeApplier(FleetView* view, ReadyCounts* ready, std::uint64_t expected)
+      : m_view(view), m_ready(ready), m_expected(expected) {}
 
   Verdict operator()(const ConfigPublished& change) {
     if (m_expected != m_view->config_version) return Conflict("configuration");
     std::vector<ConfigFault> faults;
     auto config = ParseFleetConfig(change.yaml, "published", &faults);
     if (!config) return {.code = faults.front().code, .detail = faults.front().str()};
-    for (const auto& [name, instance] : m_view->instances) {
-      if (config->FindPool(instance.pool) == nullptr) {
-        return {.code = ResultCode::kUnknownReference,
-                .detail = "pool " + instance.pool.str() + " still holds " + name.str()};
-      }
-    }
-    if (m_view->preset.valid() && config->FindPreset(m_view->preset) == nullptr) {
-      return {.code = ResultCode::kUnknownReference,
-              .detail = "preset " + m_view->preset.str() + " is in force"};
-    }
+    if (auto fault = CheckReferences(*config)) return *fault;
+    const std::vector<InstanceConfig> introduced = NewInstances(*config);
+    ReadyCounts ready = *m_ready;
+    for (const InstanceConfig& instance : introduced) ++ready[instance.pool];
+    if (auto fault = CheckBudgets(*config, ready)) return *fault;
     m_view->config = std::move(*config);
+    if (!m_view->preset.valid()) m_view->preset = m_view->config.presets.front().name;
     ++m_view->config_version;
-    for (const InstanceConfig& instance : m_view->config.instances) Introduce(instance);
+    for (const InstanceConfig& instance : introduced) Introduce(instance);
     return {};
   }
 
@@ -90,7 +123,8 @@
   Verdict operator()(const InstanceAdded& change) {
     const PoolConfig* spare = m_view->config.SparePool();
     if (spare == nullptr) return {.code = ResultCode::kUnknownReference, .detail = "no spare pool"};
-    if (m_view->instances.contains(change.instance)) return Conflict("instance");
+    const bool known = m_view->instances.contains(change.instance);
+    if (known || m_expected != m_view->removed_version) return Conflict("instance");
     Introduce({.name = change.instance,
                .data_centre = change.data_centre,
                .rack = change.rack,
@@ -103,13 +137,11 @@
   Verdict operator()(const DrainStarted& change) {
     InstanceView* instance = nullptr;
     if (auto fault = Find(change.instance, InstanceState::kReady, &instance)) return *fault;
-    const int remaining = m_view->ReadyCount(instance->pool) - 1;
+    if (!BasisHolds(change)) return Conflict("the basis of the drain");
+    const int remaining = CountOf(*m_ready, instance->pool) - 1;
     const int required = m_view->RequiredAvailable(instance->pool);
-    if (remaining < required) {
-      return {.code = ResultCode::kBudgetBreach,
-              .detail = instance->pool.str() + " would have " + std::to_string(remaining) +
-                        " ready instances, its budget is " + std::to_string(required)};
-    }
+    if (remaining < required) return Breach(instance->pool.str(), remaining, required);
+    if (remaining < change.keep) return Conflict("pool " + instance->pool.str());
     Move(instance, InstanceState::kDraining);
     return {};
   }
@@ -117,6 +149,7 @@
   Verdict operator()(const RebootStarted& change) {
     InstanceView* instance = nullptr;
     if (auto fault = Find(change.instance, InstanceState::kDraining, &instance)) return *fault;
+    instance->maintained_in = m_view->wave.sequence;
     Move(instance, InstanceState::kRebooting);
     return {};
   }
@@ -130,8 +163,9 @@
     if (m_view->config.FindPool(change.pool) == nullptr) {
       return {.code = ResultCode::kUnknownReference, .detail = "pool " + change.pool.str()};
     }
+    const bool full = change.limit > 0 && CountOf(*m_ready, change.pool) >= change.limit;
+    if (full) return Conflict("pool " + change.pool.str());
     instance->pool = change.pool;
-    instance->maintained_in = m_view->wave.sequence;
     ++instance->assignment;
     Move(instance, InstanceState::kReady);
     return {};
@@ -148,6 +182,7 @@
   Verdict operator()(const InstanceRemoved& change) {
     InstanceView* instance = nullptr;
     if (auto fault = Find(change.instance, InstanceState::kLost, &instance)) return *fault;
+    m_view->removed_version = std::max(m_view->removed_version, instance->version);
     m_view->instances.erase(change.instance);
     return {};
   }
@@ -161,21 +196,36 @@
                     .pool = change.pool,
                     .state = WaveState::kRunning,
                     .sequence = m_view->wave.sequence + 1,
-                    .pause_cause = ""};
+                    .pause_cause = "",
+                    .automatic_pause = false};
     ++m_view->wave_version;
     return {};
   }
 
   Verdict operator()(const WavePaused& change) {
-    return MoveWave(change.wave, WaveState::kRunning, WaveState::kPaused, change.cause);
+    Verdict verdict = MoveWave(change.wave, WaveState::kRunning, WaveState::kPaused, change.cause);
+    if (verdict.accepted()) m_view->wave.automatic_pause = change.automatic;
+    return verdict;
   }
 
   Verdict operator()(const WaveResumed& change) {
-    return MoveWave(change.wave, WaveState::kPaused, WaveState::kRunning, "");
+    Verdict verdict = MoveWave(change.wave, WaveState::kPaused, WaveState::kRunning, "");
+    if (verdict.accepted()) m_view->wave.automatic_pause = false;
+    return verdict;
   }
 
   Verdict operator()(const WaveFinished& change) {
-    return MoveWave(change.wave, WaveState::kRunning, WaveState::kFinished, "");
+    const WaveState from = m_view->wave.state;
+    if (from == WaveState::kFinished) return WaveFault(change.wave);
+    const auto outstanding = [&](const auto& item) {
+      return item.second.state != InstanceState::kLost && m_view->AwaitsMaintenance(item.second);
+    };
+    const auto& instances = m_view->instances;
+    const bool complete = std::none_of(instances.begin(), instances.end(), outstanding);
+    if (from == WaveState::kRunning && !complete) return WaveFault(change.wave);
+    Verdict verdict = MoveWave(change.wave, from, WaveState::kFinished, "");
+    if (verdict.accepted()) m_view->wave.automatic_pause = false;
+    return verdict;
   }
 
   Verdict operator()(const SnapshotTaken&) { return {}; }
@@ -191,8 +241,78 @@
             .detail = instance.name.str() + " is " + InstanceStateName(instance.state)};
   }
 
+  static Verdict Breach(const std::string& entity, int remaining, int required) {
+    return {.code = ResultCode::kBudgetBreach,
+            .detail = entity + " would have " + std::to_string(remaining) +
+                      " ready instances, its budget is " + std::to_string(required)};
+  }
+
+  static Verdict WaveFault(const WaveName& name) {
+    return {.code = ResultCode::kInvalidTransition, .detail = "wave " + name.str()};
+  }
+
+  /// A drain that was decided for an earlier preset or wave state is out of date.
+  bool BasisHolds(const DrainStarted& change) const {
+    switch (change.reason) {
+      case DrainReason::kPreset:
+        return change.basis == m_view->preset_version;
+      case DrainReason::kWave:
+        return change.basis == m_view->wave_version && m_view->wave.state == WaveState::kRunning;
+      case DrainReason::kOperator:
+        return true;
+    }
+    return false;
+  }
+
+  /// What is in use must stay in the configuration.
+  std::optional<Verdict> CheckReferences(const FleetConfig& config) const {
+    if (config.presets.empty()) {
+      return Verdict{.code = ResultCode::kMissingValue, .detail = "no preset"};
+    }
+    if (m_view->preset.valid() && config.FindPreset(m_view->preset) == nullptr) {
+      return Verdict{.code = ResultCode::kUnknownReference,
+                     .detail = "preset " + m_view->preset.str() + " is in force"};
+    }
+    std::set<PoolName> pools;
+    for (const PoolConfig& pool : config.pools) pools.insert(pool.name);
+    for (const auto& [name, instance] : m_view->instances) {
+      if (pools.contains(instance.pool)) continue;
+      return Verdict{.code = ResultCode::kUnknownReference,
+                     .detail = "pool " + instance.pool.str() + " still holds " + name.str()};
+    }
+    return std::nullopt;
+  }
+
+  /// A service may be below its budget after a publication only if an unplanned loss had brought
+  /// it there and the publication makes nothing worse: no higher budget, no fewer instances.
+  std::optional<Verdict> CheckBudgets(const FleetConfig& config, const ReadyCounts& ready) const {
+    for (const ServiceConfig& service : config.services) {
+      const int available = CountOf(ready, service.pool);
+      if (available >= service.min_available) continue;
+      const ServiceConfig* before = m_view->config.FindService(service.name);
+      const bool not_worse = before != nullptr && service.min_available <= before->min_available &&
+                             available >= CountOf(*m_ready, before->pool);
+      if (not_worse) continue;
+      return Breach("service " + service.name.str(), available, service.min_available);
+    }
+    return std::nullopt;
+  }
+
+  std::vector<InstanceConfig> NewInstances(const FleetConfig& config) const {
+    std::set<InstanceName> listed;
+    for (const InstanceConfig& instance : m_view->config.instances) listed.insert(instance.name);
+    std::vector<InstanceConfig> introduced;
+    for (const InstanceConfig& instance : config.instances) {
+      const bool known =
+          listed.contains(instance.name) || m_view->instances.contains(instance.name);
+      if (!known) introduced.push_back(instance);
+    }
+    return introduced;
+  }
+
   void Introduce(const InstanceConfig& instance) {
-    if (m_view->instances.contains(instance.name)) return;
+    const std::uint64_t start = m_view->removed_version + 1;
+    ++(*m_ready)[instance.pool];
     m_view->instances[instance.name] = {.name = instance.name,
                                         .data_centre = instance.data_centre,
                                         .rack = instance.rack,
@@ -200,8 +320,9 @@
                                         .slots = instance.slots,
                                         .pool = instance.pool,
                                         .state = InstanceState::kReady,
-                                        .version = 1,
-                                        .assignment = 1};
+                                        .version = start,
+                                        .assignment = start,
+                                        .maintained_in = m_view->wave.sequence};
   }
 
   /// Looks up an instance and checks the expected version and, if given, the state.
@@ -217,7 +338,10 @@
     return std::nullopt;
   }
 
-  static void Move(InstanceView* instance, InstanceState state) {
+  /// @attention Set the pool before: the counts follow the pool that the instance has now.
+  void Move(InstanceView* instance, InstanceState state) {
+    if (instance->state == InstanceState::kReady) --(*m_ready)[instance->pool];
+    if (state == InstanceState::kReady) ++(*m_ready)[instance->pool];
     instance->state = state;
     ++instance->version;
   }
@@ -225,7 +349,7 @@
   Verdict MoveWave(const WaveName& name, WaveState from, WaveState to, const std::string& cause) {
     if (m_expected != m_view->wave_version) return Conflict("wave");
     if (m_view->wave.name != name || m_view->wave.state != from) {
-      return {.code = ResultCode::kInvalidTransition, .detail = "wave " + name.str()};
+      return WaveFault(name);
     }
     m_view->wave.state = to;
     m_view->wave.pause_cause = cause;
@@ -234,6 +358,7 @@
   }
 
   FleetView* m_view;
+  ReadyCounts* m_ready;
   std::uint64_t m_expected;
 };
 
@@ -241,15 +366,17 @@
 
 Verdict FleetFold::Apply(std::uint64_t offset, const std::string& payload) {
   const auto record = DecodeFleetRecord(payload);
+  const RecordId id = record ? record->id : RecordId();
+  // Peers relay records that the log service also delivers.
+  if (offset < m_view.next_offset) return {.id = id, .code = ResultCode::kDuplicateRecord};
+  if (m_counted_offset != m_view.next_offset) m_ready_counts = CountReady(m_view);
   m_view.next_offset = offset + 1;
+  m_counted_offset = m_view.next_offset;
   if (!record) return {.code = ResultCode::kInvalidRecord, .detail = "not a fleet record"};
-  const bool repeated =
-      std::find(m_recent_ids.begin(), m_recent_ids.end(), record->id) != m_recent_ids.end();
-  if (repeated) return {.id = record->id, .code = ResultCode::kDuplicateRecord, .detail = ""};
-  if (m_recent_ids.size() >= config::kRecentRecordIds) m_recent_ids.erase(m_recent_ids.begin());
-  m_recent_ids.push_back(record->id);
-  Verdict verdict = std::visit(ChangeApplier(&m_view, record->expected_version), record->change);
-  verdict.id = record->id;
+  if (!m_recent_ids.Insert(id)) return {.id = id, .code = ResultCode::kDuplicateRecord};
+  ChangeApplier applier(&m_view, &m_ready_counts, record->expected_version);
+  Verdict verdict = std::visit(applier, record->change);
+  verdict.id = id;
   return verdict;
 }
 
