--- a/src/snapshot.cc
+++ b/src/snapshot.cc
@@ -19,9 +19,10 @@
 ENDIVEWOOD_CODEC(endivewood::FleetConfig, v.services, v.pools, v.presets, v.instances)
 ENDIVEWOOD_CODEC(endivewood::InstanceView, v.name, v.data_centre, v.rack, v.endpoint, v.slots,
                  v.pool, v.state, v.version, v.assignment, v.maintained_in)
-ENDIVEWOOD_CODEC(endivewood::WaveView, v.name, v.pool, v.state, v.sequence, v.pause_cause)
+ENDIVEWOOD_CODEC(endivewood::WaveView, v.name, v.pool, v.state, v.sequence, v.pause_cause,
+                 v.automatic_pause)
 ENDIVEWOOD_CODEC(endivewood::FleetView, v.next_offset, v.config_version, v.preset_version,
-                 v.wave_version, v.config, v.preset, v.wave, v.instances)
+                 v.wave_version, v.config, v.preset, v.wave, v.removed_version, v.instances)
 // clang-format on
 
 namespace endivewood {
@@ -38,9 +39,9 @@
 [[maybe_unused]] void CountMembers(const FleetView& view, const InstanceView& instance,
                                    const WaveView& wave, const ServiceConfig& service,
                                    const InstanceConfig& introduced, const FleetConfig& config) {
-  [[maybe_unused]] const auto& [v1, v2, v3, v4, v5, v6, v7, v8] = view;
+  [[maybe_unused]] const auto& [v1, v2, v3, v4, v5, v6, v7, v8, v9] = view;
   [[maybe_unused]] const auto& [i1, i2, i3, i4, i5, i6, i7, i8, i9, i10] = instance;
-  [[maybe_unused]] const auto& [w1, w2, w3, w4, w5] = wave;
+  [[maybe_unused]] const auto& [w1, w2, w3, w4, w5, w6] = wave;
   [[maybe_unused]] const auto& [s1, s2, s3, s4, s5, s6, s7] = service;
   [[maybe_unused]] const auto& [n1, n2, n3, n4, n5, n6] = introduced;
   [[maybe_unused]] const auto& [c1, c2, c3, c4] = config;
@@ -83,7 +84,7 @@
 
 std::string FleetFold::Encode() const {
   std::vector<std::string> ids;
-  for (const RecordId& id : m_recent_ids) ids.push_back(Shorten(id.str()));
+  for (const RecordId& id : m_recent_ids.InOrder()) ids.push_back(Shorten(id.str()));
   return Pack(std::make_tuple(kFormat, std::cref(m_view).get(), ids));
 }
 
@@ -94,8 +95,10 @@
   if (format != kFormat || view.next_offset <= m_view.next_offset || !IsValid(view)) return false;
   if (ids.size() > config::kRecentRecordIds) return false;
   m_view = std::move(view);
-  m_recent_ids.clear();
-  for (const std::string& id : ids) m_recent_ids.emplace_back(Lengthen(id));
+  std::vector<RecordId> record_ids;
+  for (const std::string& id : ids) record_ids.emplace_back(Lengthen(id));
+  m_recent_ids.Assign(record_ids);
+  m_counted_offset.reset();
   return true;
 }
 
