Add the dispatcher behind the slot allocator

Cause: The allocator served short work first but let long work keep its slots, counted a queue by scanning it, knew no run times and granted slots of upstreams that fail or refuse. Change: Dispatcher decides purely, with events in and actions out. The class follows the observed run times and outrunning work is demoted. Long work leaves free the slots that arrivals need during a checkpoint, gives slots back to short work and keeps its place by its age. Short work is refused on arrival when its estimated wait exceeds the deadline. Busy and draining refusals pause an upstream; failures eject it. SlotAllocator performs the actions outside its lock. Conclusion: The interface of the allocator is unchanged but for probes.

--- a/src/slot_allocator.cc
+++ b/src/slot_allocator.cc
@@ -2,11 +2,10 @@
 /// Thread-safe front of the slot decisions of one data centre.
 #include "slot_allocator.h"
 
-#include <algorithm>
 #include <condition_variable>
-#include <list>
 
 #include "config.h"
+#include "dispatch.h"
 
 namespace endivewood {
 
@@ -33,98 +32,93 @@
   m_action = nullptr;
 }
 
-namespace {
-
-/// A request in the queue.
-struct WaitingRequest {
-  SlotTicket ticket;
-  SlotRequest request;
-  Milliseconds place{0};     ///< Arrival time; earlier requests are served first.
-  Milliseconds deadline{0};  ///< Time of the refusal.
-  SlotCallback done;
-};
+struct SlotAllocator::Impl {
+  /// A callback with its result, delivered once the lock is released.
+  struct Answer {
+    SlotCallback done;
+    SlotResult result;
+  };
 
-/// An answer that is delivered once the lock is released.
-struct Answer {
-  SlotCallback done;
-  SlotResult result;
-};
+  /// What a turn of the dispatcher asks for.
+  struct Outbox {
+    std::vector<Answer> answers;
+    std::vector<SlotGrant> checkpoints;
+    std::vector<ProbeUpstream> probes;
+  };
 
-bool ServedBefore(const WaitingRequest& left, const WaitingRequest& right) {
-  if (left.request.work_class != right.request.work_class) {
-    return left.request.work_class == WorkClass::kShort;
+  Impl(const Clock& clock_source, SlotAllocatorOptions allocator_options)
+      : clock(clock_source),
+        options(std::move(allocator_options)),
+        dispatcher({.data_centre = options.data_centre}) {}
+
+  /// Passes an event to the dispatcher and performs its actions.
+  /// @attention the caller must not hold the mutex.
+  void Handle(const DispatchEvent& event) {
+    Outbox outbox;
+    {
+      std::lock_guard lock(mutex);
+      Collect(event, &outbox);
+    }
+    Deliver(outbox);
   }
-  return left.place < right.place;
-}
 
-void Deliver(const std::vector<Answer>& answers) {
-  for (const Answer& answer : answers) answer.done(answer.result);
-}
+  void Collect(const DispatchEvent& event, Outbox* outbox) {
+    for (DispatchAction& action : dispatcher.Handle(event, clock.Now())) {
+      std::visit([&](auto& typed) { Take(&typed, outbox); }, action);
+    }
+  }
 
-}  // namespace
+  void Take(GrantSlot* action, Outbox* outbox) {
+    ++stats.granted;
+    outbox->answers.push_back({TakeCallback(action->ticket), std::move(action->grant)});
+  }
 
-struct SlotAllocator::Impl {
-  Impl(const Clock& clock_source, SlotAllocatorOptions allocator_options)
-      : clock(clock_source), options(std::move(allocator_options)) {}
+  void Take(RefuseRequest* action, Outbox* outbox) {
+    const bool cancelled = action->reason.code == ResultCode::kNotRunCancelled;
+    ++(cancelled ? stats.cancelled : stats.refused);
+    outbox->answers.push_back({TakeCallback(action->ticket), std::move(action->reason)});
+  }
 
-  const InstanceView* FreeInstance(const SlotRequest& request) const {
-    const InstanceView* best = nullptr;
-    int best_free = 0;
-    for (const InstanceView* instance : view->ReadyInstances(request.service)) {
-      if (instance->data_centre != options.data_centre) continue;
-      const auto used = in_use.find(instance->name);
-      const int free = instance->slots - (used == in_use.end() ? 0 : used->second);
-      if (free <= best_free) continue;
-      if (std::ranges::count(request.avoid, instance->name) > 0) continue;
-      best = instance;
-      best_free = free;
-    }
-    return best;
+  void Take(CheckpointTask* action, Outbox* outbox) {
+    ++stats.checkpoints;
+    outbox->checkpoints.push_back(std::move(action->grant));
   }
 
-  /// Grants as many slots as possible and refuses what has passed its deadline.
-  std::vector<Answer> Decide() {
-    std::vector<Answer> answers;
-    const Milliseconds now = clock.Now();
-    for (auto item = waiting.begin(); item != waiting.end();) {
-      const InstanceView* instance = FreeInstance(item->request);
-      if (instance != nullptr) {
-        answers.push_back({std::move(item->done), Grant(*instance)});
-      } else if (now >= item->deadline) {
-        ++stats.refused;
-        answers.push_back({std::move(item->done),
-                           Reason{ResultCode::kNotRunDeadline, "no slot within the deadline"}});
-      } else {
-        ++item;
-        continue;
-      }
-      item = waiting.erase(item);
-    }
-    return answers;
+  static void Take(ProbeUpstream* action, Outbox* outbox) {
+    outbox->probes.push_back(std::move(*action));
   }
 
-  SlotGrant Grant(const InstanceView& instance) {
-    SlotGrant grant{.id = ++last_id,
-                    .upstream = instance.name,
-                    .endpoint = instance.endpoint,
-                    .assignment = instance.assignment};
-    ++in_use[instance.name];
-    ++stats.granted;
-    grants[grant.id] = instance.name;
-    return grant;
+  SlotCallback TakeCallback(SlotTicket ticket) {
+    const auto found = callbacks.find(ticket);
+    SlotCallback done = std::move(found->second);
+    callbacks.erase(found);
+    return done;
   }
 
-  void Enqueue(WaitingRequest item) {
-    const auto before = [&](const WaitingRequest& other) { return ServedBefore(item, other); };
-    waiting.insert(std::ranges::find_if(waiting, before), std::move(item));
+  void Deliver(const Outbox& outbox) {
+    for (const Answer& answer : outbox.answers) answer.done(answer.result);
+    for (const SlotGrant& grant : outbox.checkpoints) {
+      if (options.on_checkpoint) options.on_checkpoint(grant);
+    }
+    for (const ProbeUpstream& probe : outbox.probes) {
+      if (options.on_probe) {
+        options.on_probe(probe.instance, probe.endpoint);
+      } else {
+        Handle(ProbeAnswered{.instance = probe.instance, .healthy = true});
+      }
+    }
   }
 
-  std::size_t QueueLength(const SlotRequest& request) const {
-    return static_cast<std::size_t>(
-        std::ranges::count_if(waiting, [&](const WaitingRequest& other) {
-          return other.request.service == request.service &&
-                 other.request.work_class == request.work_class;
-        }));
+  void TickUntilStopped() {
+    std::unique_lock lock(mutex);
+    while (!stopping) {
+      stop_signal.wait_for(lock, Milliseconds(config::kDispatchTickMs));
+      Outbox outbox;
+      Collect(ClockTicked{}, &outbox);
+      lock.unlock();
+      Deliver(outbox);
+      lock.lock();
+    }
   }
 
   const Clock& clock;
@@ -132,27 +126,16 @@
   mutable std::mutex mutex;
   std::condition_variable stop_signal;
   bool stopping = false;
-  std::shared_ptr<const FleetView> view = std::make_shared<FleetView>();
-  std::uint64_t last_id = 0;
-  std::list<WaitingRequest> waiting;
-  std::map<std::uint64_t, InstanceName> grants;
-  std::map<InstanceName, int> in_use;
+  Dispatcher dispatcher;
+  std::uint64_t last_ticket = 0;
+  std::map<SlotTicket, SlotCallback> callbacks;
   SlotAllocatorStats stats;
   std::thread ticker;
 };
 
 SlotAllocator::SlotAllocator(const Clock& clock, SlotAllocatorOptions options)
     : m_impl(std::make_unique<Impl>(clock, std::move(options))) {
-  m_impl->ticker = std::thread([this] {
-    std::unique_lock lock(m_impl->mutex);
-    while (!m_impl->stopping) {
-      m_impl->stop_signal.wait_for(lock, Milliseconds(config::kDispatchTickMs));
-      const std::vector<Answer> answers = m_impl->Decide();
-      lock.unlock();
-      Deliver(answers);
-      lock.lock();
-    }
-  });
+  m_impl->ticker = std::thread([impl = m_impl.get()] { impl->TickUntilStopped(); });
 }
 
 SlotAllocator::~SlotAllocator() {
@@ -161,73 +144,39 @@
 }
 
 void SlotAllocator::Stop() {
-  std::vector<Answer> answers;
   {
     std::lock_guard lock(m_impl->mutex);
     m_impl->stopping = true;
-    for (WaitingRequest& item : m_impl->waiting) {
-      answers.push_back({std::move(item.done), Reason{ResultCode::kNotRunStopping, "stopping"}});
-    }
-    m_impl->stats.refused += m_impl->waiting.size();
-    m_impl->waiting.clear();
   }
   m_impl->stop_signal.notify_all();
-  Deliver(answers);
+  m_impl->Handle(DispatchStopped{});
 }
 
 void SlotAllocator::SetView(std::shared_ptr<const FleetView> view) {
-  std::vector<Answer> answers;
-  {
-    std::lock_guard lock(m_impl->mutex);
-    m_impl->view = std::move(view);
-    answers = m_impl->Decide();
-  }
-  Deliver(answers);
+  m_impl->Handle(ViewChanged{.view = std::move(view)});
 }
 
 SlotTicket SlotAllocator::Submit(const SlotRequest& request, SlotCallback done) {
-  std::vector<Answer> answers;
+  Impl::Outbox outbox;
   SlotTicket ticket;
   {
     std::lock_guard lock(m_impl->mutex);
-    ticket.id = ++m_impl->last_id;
-    const Milliseconds now = m_impl->clock.Now();
-    std::optional<Reason> refusal;
-    if (m_impl->stopping) refusal = Reason{ResultCode::kNotRunStopping, "stopping"};
-    const bool full = m_impl->QueueLength(request) >= config::kQueueLimit;
-    if (full && request.age == Milliseconds(0)) {
-      refusal = Reason{ResultCode::kNotRunOverload, "the queue is full"};
-    }
-    if (m_impl->view->config.FindService(request.service) == nullptr) {
-      refusal = Reason{ResultCode::kUnknownService, request.service.str()};
-    }
-    if (refusal) {
-      ++m_impl->stats.refused;
-      answers.push_back({std::move(done), *refusal});
-    } else {
-      m_impl->Enqueue({.ticket = ticket,
-                       .request = request,
-                       .place = now - request.age,
-                       .deadline = now + request.queue_deadline,
-                       .done = std::move(done)});
-      answers = m_impl->Decide();
-    }
+    ticket.id = ++m_impl->last_ticket;
+    m_impl->callbacks[ticket] = std::move(done);
+    m_impl->Collect(RequestArrived{.ticket = ticket, .request = request}, &outbox);
   }
-  Deliver(answers);
+  m_impl->Deliver(outbox);
   return ticket;
 }
 
 bool SlotAllocator::Cancel(SlotTicket ticket) {
-  std::vector<Answer> answers;
+  Impl::Outbox outbox;
   {
     std::lock_guard lock(m_impl->mutex);
-    const auto item = std::ranges::find(m_impl->waiting, ticket, &WaitingRequest::ticket);
-    if (item == m_impl->waiting.end()) return false;
-    answers.push_back({std::move(item->done), Reason{ResultCode::kNotRunCancelled, "cancelled"}});
-    m_impl->waiting.erase(item);
-    ++m_impl->stats.cancelled;
+    if (!m_impl->callbacks.contains(ticket)) return false;
+    m_impl->Collect(RequestCancelled{.ticket = ticket}, &outbox);
   }
-  Deliver(answers);
+  m_impl->Deliver(outbox);
   return true;
 }
 
@@ -256,27 +205,22 @@
   return std::nullopt;
 }
 
-void SlotAllocator::Release(const SlotGrant& grant, SlotOutcome, Milliseconds) {
-  std::vector<Answer> answers;
-  {
-    std::lock_guard lock(m_impl->mutex);
-    const auto found = m_impl->grants.find(grant.id);
-    if (found == m_impl->grants.end()) return;
-    --m_impl->in_use[found->second];
-    m_impl->grants.erase(found);
-    answers = m_impl->Decide();
-  }
-  Deliver(answers);
+void SlotAllocator::Release(const SlotGrant& grant, SlotOutcome outcome, Milliseconds run_time) {
+  m_impl->Handle(RequestEnded{.grant = grant.id, .outcome = outcome, .run_time = run_time});
+}
+
+void SlotAllocator::AnswerProbe(const InstanceName& instance, bool healthy) {
+  m_impl->Handle(ProbeAnswered{.instance = instance, .healthy = healthy});
 }
 
 SlotAllocatorStats SlotAllocator::Stats() const {
   std::lock_guard lock(m_impl->mutex);
+  const DispatchStats dispatch = m_impl->dispatcher.Stats();
   SlotAllocatorStats stats = m_impl->stats;
-  for (const WaitingRequest& item : m_impl->waiting) {
-    const bool is_short = item.request.work_class == WorkClass::kShort;
-    ++(is_short ? stats.waiting_short : stats.waiting_long);
-  }
-  stats.in_use = m_impl->grants.size();
+  stats.waiting_short = dispatch.waiting_short;
+  stats.waiting_long = dispatch.waiting_long;
+  stats.in_use = dispatch.running_short + dispatch.running_long;
+  stats.ejected = dispatch.ejected;
   return stats;
 }
 
--- a/src/slot_allocator.h
+++ b/src/slot_allocator.h
@@ -67,6 +67,9 @@
 /// kCheckpointed.
 using CheckpointHandler = std::function<void(const SlotGrant&)>;
 
+/// Asks whether an ejected upstream answers; the answer goes to SlotAllocator::AnswerProbe.
+using ProbeHandler = std::function<void(const InstanceName&, const Endpoint&)>;
+
 /// Cancels a waiting Acquire from another thread. One token serves one Acquire. Thread-safe.
 class CancelToken {
  public:
@@ -90,6 +93,9 @@
   DataCentreName data_centre;
   /// Called on the allocator's own threads without a lock held; must not block.
   CheckpointHandler on_checkpoint = nullptr;
+  /// Called as on_checkpoint. Without a handler an ejected upstream goes on trial when its probe is
+  /// due.
+  ProbeHandler on_probe = nullptr;
 };
 
 /// Counters of a SlotAllocator.
@@ -101,6 +107,7 @@
   std::uint64_t refused = 0;
   std::uint64_t cancelled = 0;
   std::uint64_t checkpoints = 0;
+  std::size_t ejected = 0;  ///< Upstreams that are ejected or on trial.
 
   bool operator==(const SlotAllocatorStats&) const = default;
 };
@@ -129,7 +136,7 @@
 
   /// Blocks until the request is granted or refused.
   /// @param reason receives kNotRunOverload, kNotRunDeadline, kNotRunNoUpstream,
-  /// kNotRunCancelled, kNotRunStopping or kUnknownService.
+  /// kNotRunCancelled, kNotRunStopping, kNotRunnable or kUnknownService.
   std::optional<SlotGrant> Acquire(const SlotRequest& request, Reason* reason,
                                    CancelToken* token = nullptr);
 
@@ -137,6 +144,9 @@
   /// @param run_time time for which the work ran in this grant.
   void Release(const SlotGrant& grant, SlotOutcome outcome, Milliseconds run_time);
 
+  /// Answers a probe.
+  void AnswerProbe(const InstanceName& instance, bool healthy);
+
   /// Refuses the waiting requests and every later one with kNotRunStopping.
   void Stop();
 
--- a/tests/slot_allocator_test.cc
+++ b/tests/slot_allocator_test.cc
@@ -58,5 +58,50 @@
   CHECK(outcome([&] { allocator->Stop(); }, nullptr) == ResultCode::kNotRunStopping);
 }
 
+// Guards against long work that keeps a slot for which short work waits, against a checkpoint
+// request that nobody receives, and against resumed work that goes to the end of the queue.
+TEST_CASE("long work is asked for its slot and resumes before younger work") {
+  Clock clock;
+  clock.Pause();
+  std::vector<SlotGrant> asked;
+  std::vector<int> order;
+  std::mutex mutex;
+  SlotAllocator allocator(clock, {.data_centre = Here(), .on_checkpoint = [&](const SlotGrant& g) {
+                                    std::lock_guard lock(mutex);
+                                    asked.push_back(g);
+                                  }});
+  allocator.SetView(std::make_shared<FleetView>(MakeView({.instances = 1, .slots = 2})));
+  SlotRequest task{
+      .service = Quick(), .work_class = WorkClass::kLong, .queue_deadline = std::chrono::hours(1)};
+  const auto started = allocator.Acquire(task, nullptr);
+  REQUIRE(started);
+  const auto request = allocator.Acquire({.service = Quick()}, nullptr);
+  REQUIRE(request);
+  const std::vector<SlotGrant> expected{*started};
+  REQUIRE(asked == expected);
+  clock.Advance(Milliseconds(10));
+  allocator.Release(*started, SlotOutcome::kCheckpointed, Milliseconds(10));
+  const auto submit = [&](int number) {
+    allocator.Submit(task, [&, number](const SlotResult&) {
+      std::lock_guard lock(mutex);
+      order.push_back(number);
+    });
+  };
+  submit(2);
+  task.age = Milliseconds(10);
+  submit(1);
+  allocator.Release(*request, SlotOutcome::kSucceeded, Milliseconds(10));
+  // The slots kept for arrivals shrink to the least number as the arrival passes out of the rate.
+  clock.Advance(Milliseconds(10 * 1000));
+  const auto answered = [&] {
+    std::lock_guard lock(mutex);
+    return order.size();
+  };
+  while (answered() < 1) std::this_thread::yield();
+  CHECK(allocator.Stats().waiting_long == 1);
+  allocator.Stop();
+  CHECK(order.front() == 1);
+}
+
 }  // namespace
 }  // namespace endivewood::testing
