--- a/src/config.h
+++ b/src/config.h
@@ -38,4 +38,26 @@
 /// Milliseconds after which an unanswered platform call counts as failed.
 inline constexpr std::int64_t kPlatformTimeoutMs = 2000;
 
+// Planner processes.
+
+/// Milliseconds between two rounds of a planner; a step of a drain waits at most this long.
+inline constexpr std::int64_t kPlannerTickMs = 100;
+
+/// Milliseconds between two heartbeats of a planner on the stream `planners`.
+inline constexpr std::int64_t kPlannerHeartbeatMs = 1000;
+
+/// Milliseconds of log time without a heartbeat after which a planner counts as stopped. Three
+/// heartbeats, so that one slow append doesn't change who leads.
+inline constexpr std::int64_t kPlannerTimeoutMs = 3000;
+
+/// Milliseconds between two readings of the instance list.
+inline constexpr std::int64_t kInstanceListMs = 1000;
+
+/// Milliseconds in which each ready worker is asked once. A data centre of the target size has
+/// about 150, and a call costs about 0.3 ms, so this keeps the cost near 1% of a core.
+inline constexpr std::int64_t kWorkerSweepMs = 4000;
+
+/// Milliseconds between two questions to a worker that did not answer.
+inline constexpr std::int64_t kSuspectRetryMs = 1000;
+
 }  // namespace endivewood::config
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -37,6 +37,17 @@
   std::set<Endpoint> m_used;
 };
 
+PlannerSettings ReadPlanner(const YAML::Node& node, YamlReader* reader, EndpointReader* endpoints) {
+  constexpr int kMaxMs = 24 * 3600 * 1000;
+  const PlannerSettings defaults;
+  reader->CheckKeys(node, {"control", "hold_ms", "loss_confirm_ms", "reboot_limit_ms"});
+  return {
+      .control = endpoints->Read(node, "control", true),
+      .hold_ms = reader->Int(node, "hold_ms", 0, kMaxMs, defaults.hold_ms),
+      .loss_confirm_ms = reader->Int(node, "loss_confirm_ms", 0, kMaxMs, defaults.loss_confirm_ms),
+      .reboot_limit_ms = reader->Int(node, "reboot_limit_ms", 0, kMaxMs, defaults.reboot_limit_ms)};
+}
+
 }  // namespace
 
 std::optional<ProcessSettings> ParseProcessSettings(const std::string& text,
@@ -46,8 +57,8 @@
   YamlReader reader(file, faults);
   const YAML::Node root = reader.Load(text);
   if (faults->size() != faults_before) return std::nullopt;
-  reader.CheckKeys(root,
-                   {"name", "data_centre", "callers", "control", "peer", "platform", "peers"});
+  reader.CheckKeys(
+      root, {"name", "data_centre", "callers", "control", "peer", "platform", "peers", "planner"});
   EndpointReader endpoints(&reader);
   ProcessSettings settings{.name = reader.String(root, "name"),
                            .data_centre = DataCentreName(reader.String(root, "data_centre")),
@@ -55,7 +66,11 @@
                            .control = endpoints.Read(root, "control", true),
                            .peer = endpoints.Read(root, "peer", true),
                            .platform = endpoints.Read(root, "platform", true),
-                           .peers = {}};
+                           .peers = {},
+                           .planner = {}};
+  if (root["planner"].IsDefined()) {
+    settings.planner = ReadPlanner(root["planner"], &reader, &endpoints);
+  }
   for (const YAML::Node& node : reader.Sequence(root, "peers", false)) {
     reader.CheckKeys(node, {"name", "data_centre", "address"});
     settings.peers.push_back({.name = reader.String(node, "name"),
--- a/src/settings.h
+++ b/src/settings.h
@@ -19,6 +19,16 @@
   bool operator==(const PeerSettings&) const = default;
 };
 
+/// Settings of the planner on the same instance; the times are those of PlannerOptions.
+struct PlannerSettings {
+  Endpoint control;  ///< Listener for dumps; invalid when the instance runs no planner.
+  int hold_ms = 10000;
+  int loss_confirm_ms = 5000;
+  int reboot_limit_ms = 600000;
+
+  bool operator==(const PlannerSettings&) const = default;
+};
+
 /// Settings that entry and planner share.
 struct ProcessSettings {
   std::string name;
@@ -28,6 +38,7 @@
   Endpoint peer;     ///< Peer listener.
   Endpoint platform;
   std::vector<PeerSettings> peers;
+  PlannerSettings planner;
 
   bool operator==(const ProcessSettings&) const = default;
 };
--- a/standins/platform.cc
+++ b/standins/platform.cc
@@ -8,6 +8,7 @@
 
 #include "codec.h"
 #include "endivewood_p.h"
+#include "instance_directory.h"
 
 namespace endivewood {
 namespace {
@@ -21,6 +22,7 @@
   int slow_ms = 0;       ///< Delay before each answer.
   int lose_appends = 0;  ///< Appends that take effect but are never answered.
   int list_lag_ms = 0;   ///< Age of the instance list.
+  int lose_orders = 0;   ///< Orders to workers that take effect but are never answered.
 };
 
 /// One append-only stream whose records expire by count.
@@ -70,6 +72,8 @@
       lock.unlock();
       if (slow_ms > 0) std::this_thread::sleep_for(Milliseconds(slow_ms));
     }
+    if (request.path == "/instances") return Instances(request);
+    if (request.path.starts_with("/workers/")) return Worker(request);
     const std::string log_prefix = "/log/";
     if (!request.path.starts_with(log_prefix)) return {.status = 404, .headers = {}, .body = ""};
     const std::string stream = request.path.substr(log_prefix.size());
@@ -83,12 +87,32 @@
     m_faults.slow_ms = std::stoi(request.Parameter("slow_ms", std::to_string(m_faults.slow_ms)));
     m_faults.lose_appends =
         std::stoi(request.Parameter("lose_appends", std::to_string(m_faults.lose_appends)));
+    m_faults.list_lag_ms =
+        std::stoi(request.Parameter("list_lag_ms", std::to_string(m_faults.list_lag_ms)));
+    m_faults.lose_orders =
+        std::stoi(request.Parameter("lose_orders", std::to_string(m_faults.lose_orders)));
     const std::string expire = request.Parameter("expire_below");
     if (!expire.empty())
       m_streams[request.Parameter("stream", "fleet")].Expire(std::stoull(expire));
     return {};
   }
 
+  HttpReply Instances(const HttpRequest& request) {
+    if (request.method == "POST") return m_directory.Register(request);
+    std::unique_lock lock(m_mutex);
+    const Milliseconds lag(m_faults.list_lag_ms);
+    lock.unlock();
+    return m_directory.List(lag);
+  }
+
+  HttpReply Worker(const HttpRequest& request) {
+    HttpReply reply = m_directory.Worker(request);
+    std::lock_guard lock(m_mutex);
+    if (request.method != "POST" || m_faults.lose_orders == 0) return reply;
+    --m_faults.lose_orders;
+    return {.status = 500, .headers = {}, .body = "answer lost"};
+  }
+
   HttpReply Append(const std::string& stream, const HttpRequest& request) {
     std::unique_lock lock(m_mutex);
     const std::uint64_t offset = m_streams[stream].Append(request.body);
@@ -123,6 +147,7 @@
   std::mutex m_mutex;
   std::condition_variable m_appended;
   std::map<std::string, Stream> m_streams;
+  InstanceDirectory m_directory;
   Faults m_faults;
 };
 
--- a/standins/upstream.cc
+++ b/standins/upstream.cc
@@ -6,6 +6,7 @@
 #include <map>
 
 #include "endivewood_p.h"
+#include "worker_state.h"
 
 namespace endivewood {
 namespace {
@@ -15,16 +16,26 @@
 /// An executor. Work is "<milliseconds> <text>"; the answer is "done <text>".
 class Executor {
  public:
-  explicit Executor(int slots) : m_slots(slots) {}
+  Executor(int slots, std::uint64_t assignment, Milliseconds reboot_time)
+      : m_slots(slots), m_worker(assignment, reboot_time) {}
 
   HttpReply Handle(const HttpRequest& request) {
     if (request.path == "/work") return Work(request);
     if (request.path == "/effects") return Effects();
+    if (request.path == "/status") return m_worker.Handle(request);
+    if (request.path.starts_with("/control/")) return m_worker.Handle(request);
     return {.status = 404, .headers = {}, .body = ""};
   }
 
  private:
   HttpReply Work(const HttpRequest& request) {
+    if (auto refusal = m_worker.Admit(request)) return *refusal;
+    HttpReply reply = Run(request);
+    m_worker.Finish();
+    return reply;
+  }
+
+  HttpReply Run(const HttpRequest& request) {
     {
       std::lock_guard lock(m_mutex);
       if (m_busy >= m_slots) return {.status = 503, .headers = {{"Not-Run", "busy"}}, .body = ""};
@@ -54,6 +65,7 @@
   int m_slots;
   int m_busy = 0;
   std::map<std::string, int> m_effects;
+  WorkerStateMachine m_worker;
 };
 
 int Main(int argc, char** argv) {
@@ -62,9 +74,12 @@
                                        command);
   TCLAP::ValueArg<int> port("", "port", "TCP port", true, 0, "PORT", command);
   TCLAP::ValueArg<int> slots("", "slots", "requests at a time", false, 8, "N", command);
+  TCLAP::ValueArg<int> assignment("", "assignment", "first assignment", false, 1, "N", command);
+  TCLAP::ValueArg<int> reboot("", "reboot-ms", "time of a reboot", false, 500, "MS", command);
   command.parse(argc, argv);
   BlockStopSignals();
-  Executor executor(slots.getValue());
+  Executor executor(slots.getValue(), static_cast<std::uint64_t>(assignment.getValue()),
+                    Milliseconds(reboot.getValue()));
   HttpServer server({.endpoint = {.address = address.getValue(),
                                   .port = static_cast<std::uint16_t>(port.getValue())},
                      .max_threads = kThreads},
