Check, claim and retry requests on the request path

Cause: the entry forwarded any request once, to any upstream, without checking headers, key, length or id, and without a slot.

Change: CheckServiceRequest validates before anything runs. Forwarder takes a slot from SlotAllocator for each call and repeats a request only when it was certainly not run, or when it is idempotent and another upstream is left within the retry budget. Non-idempotent requests are claimed first and recorded afterwards. UpstreamClient keeps connections for idempotent work and uses a connection of its own for other work. SIGTERM lets requests in progress finish; a second one or the time limit reports how many were cut. Result code 207 says that an attempt started nothing and the key remains usable.

--- a/daemons/endivewood_entry.cc
+++ b/daemons/endivewood_entry.cc
@@ -2,14 +2,17 @@
 /// endivewood-entry: the request path on an entry instance.
 #include <tclap/CmdLine.h>
 
+#include <cstdlib>
 #include <iostream>
 
+#include "config.h"
 #include "entry.h"
 
 namespace endivewood {
 namespace {
 
 constexpr int kExitInvalidSettings = 2;
+constexpr int kExitCutRequests = 3;
 
 int Main(int argc, char** argv) {
   TCLAP::CmdLine command("Request path of endivewood", ' ', kVersion);
@@ -23,10 +26,18 @@
   if (!settings) return kExitInvalidSettings;
   if (check.getValue()) return 0;
   BlockStopSignals();
-  Entry entry(*settings);
+  auto entry = std::make_unique<Entry>(*settings);
   WaitForStopSignal();
-  entry.Stop();
-  return 0;
+  std::atomic<bool> cut_now{false};
+  std::thread second_signal([&] {
+    WaitForStopSignal();
+    cut_now = true;
+  });
+  const int cut = entry->Stop(Milliseconds(config::kStopLimitMs), cut_now);
+  if (cut > 0) std::cerr << "stopped with " << cut << " requests in progress\n";
+  // Requests that were cut still use the entry; otherwise its end flushes the last answers.
+  if (cut == 0) entry.reset();
+  std::quick_exit(cut > 0 ? kExitCutRequests : 0);
 }
 
 }  // namespace
--- a/include/endivewood/endivewood.h
+++ b/include/endivewood/endivewood.h
@@ -48,6 +48,8 @@
   kNotStartedPlatform = 204,
   kNotRunCancelled = 205,
   kNotRunnable = 206,
+  /// This attempt started nothing; the idempotency key remains usable.
+  kNotStarted = 207,
   // Requests whose effect is not known.
   kUnknownEffect = 300,
   kUpstreamFailed = 301,
--- a/src/config.h
+++ b/src/config.h
@@ -84,6 +84,36 @@
 /// missed signs; a wrong fence costs an "unknown effect" answer, never a second run.
 inline constexpr std::int64_t kFenceAfterMs = 5000;
 
+/// Requests of callers in progress at an entry. The remaining threads of the listener answer
+/// refusals and polls for results.
+inline constexpr int kMaxRequestsInProgress = 500;
+
+/// Requests of one service in progress at an entry, so that no service can take every thread.
+inline constexpr int kMaxRequestsPerService = 250;
+
+/// Milliseconds that a caller may set in Deadline-Ms at most.
+inline constexpr std::int64_t kMaxDeadlineMs = 86400000;
+
+/// Calls of one idempotent request that may fail. Each goes to another upstream.
+inline constexpr int kMaxFailedCalls = 3;
+
+/// Calls of one request that upstreams may refuse before it is refused as overload.
+inline constexpr int kMaxRefusedCalls = 50;
+
+/// Milliseconds after which an idle connection to an upstream is closed. Below the keep-alive
+/// timeout of upstreams, so that few reused connections turn out closed.
+inline constexpr std::int64_t kUpstreamIdleMs = 10000;
+
+/// Idle connections kept to one upstream, which accepts 64 from all entries together.
+inline constexpr std::size_t kUpstreamIdleConnections = 8;
+
+/// Milliseconds between two looks at the fleet view for the slot allocator.
+inline constexpr std::int64_t kViewPollMs = 20;
+
+/// Milliseconds that a graceful stop waits for the requests in progress: the longest usual run
+/// timeout and queue deadline.
+inline constexpr std::int64_t kStopLimitMs = 35000;
+
 /// Requests that wait in one queue. At the smallest pool of a data centre, 16 slots with work of
 /// 100 ms, a longer queue lasts more than 6 s, which is past every usual deadline.
 inline constexpr std::size_t kQueueLimit = 1000;
--- a/src/entry.cc
+++ b/src/entry.cc
@@ -12,18 +12,62 @@
 constexpr unsigned kControlThreads = 16;
 
 HttpReply Answer(ResultCode code, std::string body = "") {
-  if (body.empty()) body = ResultCodeName(code);
+  if (body.empty() && code != ResultCode::kOk) body = ResultCodeName(code);
   return {.status = HttpStatusOf(code),
           .headers = {{"Result-Code", std::to_string(static_cast<int>(code))}},
           .body = std::move(body)};
 }
 
+HttpReply Answer(const WorkOutcome& outcome) { return Answer(outcome.code, outcome.body); }
+
+/// The answers to a request that doesn't own its key.
+struct KeyAnswer {
+  HttpReply operator()(const ClaimOwned&) const { return Answer(ResultCode::kUnknownEffect); }
+  HttpReply operator()(const ClaimResolved& known) const { return Answer(known.code, known.body); }
+  HttpReply operator()(const ClaimRefused&) const { return Answer(ResultCode::kKeyReused); }
+  HttpReply operator()(const ClaimExpired&) const { return Answer(ResultCode::kKeyExpired); }
+  HttpReply operator()(const ClaimUnknown&) const { return Answer(ResultCode::kUnknownEffect); }
+  HttpReply operator()(const ClaimInProgress&) const { return Answer(ResultCode::kPending); }
+  HttpReply operator()(const ClaimNotStarted& attempt) const {
+    return Answer(ResultCode::kNotStartedPlatform,
+                  "not started, retry with the same key: " + attempt.cause);
+  }
+};
+
 }  // namespace
 
+bool RequestLimiter::Enter(const ServiceName& service) {
+  std::lock_guard lock(m_mutex);
+  int& of_service = m_by_service[service];
+  const bool full =
+      m_total >= config::kMaxRequestsInProgress || of_service >= config::kMaxRequestsPerService;
+  if (full || m_closed) return false;
+  ++of_service;
+  ++m_total;
+  return true;
+}
+
+void RequestLimiter::Leave(const ServiceName& service) {
+  std::lock_guard lock(m_mutex);
+  const auto of_service = m_by_service.find(service);
+  if (--of_service->second == 0) m_by_service.erase(of_service);
+  --m_total;
+}
+
+void RequestLimiter::Close() {
+  std::lock_guard lock(m_mutex);
+  m_closed = true;
+}
+
 Entry::Entry(const ProcessSettings& settings)
     : m_settings(settings),
       m_incarnation(RandomHex128()),
       m_follower(LogClient(settings.platform, m_incarnation), nullptr),
+      m_claims(LogClient(settings.platform, m_incarnation), &m_clock),
+      m_slots(m_clock, {.data_centre = settings.data_centre}),
+      m_upstreams(&m_clock),
+      m_forwarder(&m_slots, &m_upstreams, &m_clock),
+      m_view_thread([this] { FollowView(); }),
       m_caller_server({.endpoint = settings.callers,
                        .max_threads = config::kMaxHttpThreads,
                        .max_body_bytes = config::kMaxBodyBytes},
@@ -31,22 +75,93 @@
       m_control_server({.endpoint = settings.control, .max_threads = kControlThreads},
                        [this](const HttpRequest& request) { return HandleControl(request); }) {}
 
-void Entry::Stop() {
+Entry::~Entry() {
+  m_stopping = true;
+  if (m_view_thread.joinable()) m_view_thread.join();
+}
+
+int Entry::Stop(Milliseconds limit, const std::atomic<bool>& cut_now) {
+  m_limiter.Close();
+  const Milliseconds end = m_clock.Now() + limit;
+  while (m_limiter.in_progress() > 0 && m_clock.Now() < end && !cut_now) {
+    std::this_thread::sleep_for(Milliseconds(config::kViewPollMs));
+  }
+  const int cut = m_limiter.in_progress();
+  if (cut > 0) return cut;
+  for (std::thread& thread : m_long_threads) thread.join();
   m_caller_server.Stop();
+  m_claims.Stop();
+  m_slots.Stop();
+  m_stopping = true;
   m_control_server.Stop();
   m_follower.Stop();
-  for (std::thread& thread : m_long_threads) thread.join();
+  return 0;
+}
+
+void Entry::FollowView() {
+  std::shared_ptr<const FleetView> current;
+  while (!m_stopping) {
+    auto view = m_follower.View();
+    if (view != current) m_slots.SetView(view);
+    current = std::move(view);
+    std::this_thread::sleep_for(Milliseconds(config::kViewPollMs));
+  }
 }
 
 HttpReply Entry::HandleCaller(const HttpRequest& request) {
-  if (request.path.starts_with(kResultPrefix)) return HandleResult(request);
+  const std::string request_id = RandomHex128();
+  HttpReply reply =
+      request.path.starts_with(kResultPrefix) ? HandleResult(request) : HandleService(request);
+  reply.headers.push_back({"Request-Id", request_id});
+  // A closed connection makes the caller's next request reach an entry that still serves.
+  if (m_limiter.closed()) reply.headers.push_back({"Connection", "close"});
+  return reply;
+}
+
+HttpReply Entry::HandleService(const HttpRequest& request) {
   if (!request.path.starts_with(kServicePrefix)) return Answer(ResultCode::kMalformedRequest);
   const ServiceName name(request.path.substr(sizeof(kServicePrefix) - 1));
   const auto view = m_follower.View();
   const ServiceConfig* service = view->config.FindService(name);
   if (service == nullptr) return Answer(ResultCode::kUnknownService);
-  if (service->work_class == WorkClass::kLong) return AcceptLong(request, *service);
-  return Forward(request, *service);
+  Reason reason;
+  const auto checked = CheckServiceRequest(request, *service, m_clock.UnixTime(), &reason);
+  if (!checked) return Answer(reason.code, reason.text);
+  if (!m_limiter.Enter(name)) {
+    if (!service->idempotent) return Answer(ResultCode::kNotStarted);
+    return Answer(m_limiter.closed() ? ResultCode::kNotRunStopping : ResultCode::kNotRunOverload);
+  }
+  HttpReply reply;
+  if (service->work_class == WorkClass::kLong) {
+    reply = AcceptLong(*checked, *service);
+  } else if (service->idempotent) {
+    reply = Answer(Run(*checked, *service));
+  } else {
+    reply = RunClaimed(*checked, *service);
+  }
+  m_limiter.Leave(name);
+  return reply;
+}
+
+HttpReply Entry::RunClaimed(const ServiceRequest& request, const ServiceConfig& service) {
+  const IdempotencyKey key(request.key);
+  const ClaimAnswer answer =
+      m_claims.Claim({.key = key,
+                      .caller = DigestOf(request.caller_token),
+                      .body = DigestOf(service.name.str() + "\n" + request.body),
+                      .wait = service.queue_deadline + service.run_timeout});
+  const auto* owned = std::get_if<ClaimOwned>(&answer);
+  if (owned == nullptr) return std::visit(KeyAnswer(), answer);
+  const WorkOutcome outcome = Run(request, service);
+  m_claims.Record(key, owned->id, outcome.code, outcome.body);
+  return Answer(outcome);
+}
+
+WorkOutcome Entry::Run(const ServiceRequest& request, const ServiceConfig& service) {
+  return m_forwarder.Run({.service = service,
+                          .key = request.key,
+                          .queue_deadline = request.queue_deadline,
+                          .body = request.body});
 }
 
 HttpReply Entry::HandleResult(const HttpRequest& request) {
@@ -59,14 +174,12 @@
   return found->second.reply ? *found->second.reply : Answer(ResultCode::kPending);
 }
 
-HttpReply Entry::AcceptLong(const HttpRequest& request, const ServiceConfig& service) {
-  const std::string token = request.Header("Caller-Token");
-  if (token.empty()) return Answer(ResultCode::kMissingCallerToken);
+HttpReply Entry::AcceptLong(const ServiceRequest& request, const ServiceConfig& service) {
   const std::string handle = RandomHex128();
   std::lock_guard lock(m_mutex);
-  m_long_requests[handle] = {.caller_token = token, .reply = std::nullopt};
+  m_long_requests[handle] = {.caller_token = request.caller_token, .reply = std::nullopt};
   m_long_threads.emplace_back([this, request, service, handle] {
-    HttpReply reply = Forward(request, service);
+    HttpReply reply = Answer(Run(request, service));
     std::lock_guard result_lock(m_mutex);
     m_long_requests[handle].reply = std::move(reply);
   });
@@ -75,44 +188,23 @@
   return accepted;
 }
 
-HttpReply Entry::Forward(const HttpRequest& request, const ServiceConfig& service) {
-  const auto view = m_follower.View();
-  std::vector<const InstanceView*> upstreams;
-  for (const InstanceView* instance : view->ReadyInstances(service.name)) {
-    if (instance->data_centre == m_settings.data_centre) upstreams.push_back(instance);
-  }
-  if (upstreams.empty()) return Answer(ResultCode::kNotRunNoUpstream);
-  const std::string request_id = RandomHex128();
-  const InstanceView* upstream = upstreams[m_next_upstream++ % upstreams.size()];
-  HttpRequest work{.method = "POST",
-                   .path = "/work",
-                   .query = "",
-                   .headers = {{"Request-Id", request_id},
-                               {"Service", service.name.str()},
-                               {"Assignment", std::to_string(upstream->assignment)}},
-                   .body = request.body};
-  const std::string key = request.Header("Idempotency-Key");
-  if (!key.empty()) work.headers.push_back({"Idempotency-Key", key});
-  const HttpOutcome outcome = HttpCall(upstream->endpoint, work, service.run_timeout);
-  if (!outcome.reply) return Answer(ResultCode::kUpstreamFailed);
-  if (outcome.reply->status == 503) return Answer(ResultCode::kNotRunOverload);
-  if (outcome.reply->status != 200 || outcome.reply->Header("Request-Id") != request_id) {
-    return Answer(ResultCode::kUpstreamFailed);
-  }
-  HttpReply reply = Answer(ResultCode::kOk, outcome.reply->body);
-  reply.headers.push_back({"Request-Id", request_id});
-  return reply;
-}
-
 HttpReply Entry::HandleControl(const HttpRequest& request) {
   const auto view = m_follower.View();
-  if (request.path == "/health") return Answer(ResultCode::kOk);
+  if (request.path == "/health") {
+    return Answer(m_limiter.closed() ? ResultCode::kNotRunStopping : ResultCode::kOk);
+  }
   if (request.path != "/dump") return Answer(ResultCode::kMalformedRequest);
-  const std::string body = "{\"process\":\"" + m_settings.name + "\",\"data_centre\":\"" +
-                           m_settings.data_centre.str() +
-                           "\",\"next_offset\":" + std::to_string(view->next_offset) +
-                           ",\"config_version\":" + std::to_string(view->config_version) +
-                           ",\"preset\":\"" + view->preset.str() + "\"}";
+  const ClaimStats claims = m_claims.Stats();
+  const std::string body =
+      "{\"process\":\"" + m_settings.name + "\",\"data_centre\":\"" + m_settings.data_centre.str() +
+      "\",\"next_offset\":" + std::to_string(view->next_offset) +
+      ",\"config_version\":" + std::to_string(view->config_version) + ",\"preset\":\"" +
+      view->preset.str() + "\",\"requests\":" + std::to_string(m_limiter.in_progress()) +
+      ",\"claim_appends\":" + std::to_string(claims.appends) +
+      ",\"claims\":" + std::to_string(claims.claims) +
+      ",\"claim_keys\":" + std::to_string(claims.keys) +
+      ",\"fences\":" + std::to_string(claims.fences) +
+      ",\"withdrawals\":" + std::to_string(claims.withdrawals) + "}";
   return {.status = 200, .headers = {{"Content-Type", "application/json"}}, .body = body};
 }
 
--- a/src/entry.h
+++ b/src/entry.h
@@ -2,25 +2,54 @@
 /// The request path of an entry instance.
 #pragma once
 
+#include "claim_log.h"
 #include "endivewood_p.h"
+#include "forward.h"
+#include "request_check.h"
 #include "settings.h"
 
 namespace endivewood {
 
+/// Counts requests in progress and refuses those above a limit. Thread-safe.
+class RequestLimiter {
+ public:
+  bool Enter(const ServiceName& service);
+  void Leave(const ServiceName& service);
+
+  /// Lets no further request in.
+  void Close();
+  bool closed() const { return m_closed; }
+  int in_progress() const { return m_total; }
+
+ private:
+  std::mutex m_mutex;
+  std::atomic<bool> m_closed{false};
+  std::atomic<int> m_total{0};
+  std::map<ServiceName, int> m_by_service;
+};
+
 /// An entry process: caller listener, control listener and fleet follower.
 class Entry {
  public:
   explicit Entry(const ProcessSettings& settings);
+  ~Entry();
 
-  /// Stops taking connections and answers the requests in progress.
-  void Stop();
+  /// Stops taking requests and answers those in progress.
+  /// @param limit time for the requests in progress.
+  /// @param cut_now ends the wait early when it becomes true.
+  /// @returns the number of requests that were not answered. When it is not 0 the process must end
+  /// without destroying the entry, because threads still use it.
+  int Stop(Milliseconds limit, const std::atomic<bool>& cut_now);
 
  private:
   HttpReply HandleCaller(const HttpRequest& request);
+  HttpReply HandleService(const HttpRequest& request);
   HttpReply HandleControl(const HttpRequest& request);
   HttpReply HandleResult(const HttpRequest& request);
-  HttpReply AcceptLong(const HttpRequest& request, const ServiceConfig& service);
-  HttpReply Forward(const HttpRequest& request, const ServiceConfig& service);
+  HttpReply AcceptLong(const ServiceRequest& request, const ServiceConfig& service);
+  HttpReply RunClaimed(const ServiceRequest& request, const ServiceConfig& service);
+  WorkOutcome Run(const ServiceRequest& request, const ServiceConfig& service);
+  void FollowView();
 
   /// A long request that callers ask for by its handle.
   struct LongRequest {
@@ -30,8 +59,15 @@
 
   ProcessSettings m_settings;
   Incarnation m_incarnation;
+  Clock m_clock;
   FleetFollower m_follower;
-  std::atomic<std::uint64_t> m_next_upstream{0};
+  ClaimLog m_claims;
+  SlotAllocator m_slots;
+  UpstreamClient m_upstreams;
+  Forwarder m_forwarder;
+  RequestLimiter m_limiter;
+  std::atomic<bool> m_stopping{false};
+  std::thread m_view_thread;
   std::mutex m_mutex;
   std::map<std::string, LongRequest> m_long_requests;
   std::vector<std::thread> m_long_threads;
--- /dev/null
+++ b/src/forward.cc
@@ -0,0 +1,106 @@
+/// @file
+/// Runs one request on an upstream.
+#include "forward.h"
+
+#include "config.h"
+
+namespace endivewood {
+
+/// What the calls of one request have shown so far; decides after each one whether to go on.
+class Forwarder::Attempts {
+ public:
+  explicit Attempts(bool idempotent) : m_idempotent(idempotent) {}
+
+  /// @returns whether the request may be called again.
+  bool MayGoOn(const UpstreamReading& reading, const InstanceName& upstream) {
+    if (reading.effect == UpstreamEffect::kNotRun) {
+      return ++m_refused < config::kMaxRefusedCalls;
+    }
+    m_may_have_run = true;
+    m_timed_out = reading.slot == SlotOutcome::kTimeout;
+    m_failed_on.push_back(upstream);
+    return m_idempotent && ++m_failed < config::kMaxFailedCalls;
+  }
+
+  /// @returns the code for a request that ends without an answer.
+  ResultCode FinalCode(ResultCode not_run) const {
+    if (!m_may_have_run) return not_run;
+    if (!m_idempotent) return ResultCode::kUnknownEffect;
+    return m_timed_out ? ResultCode::kUpstreamTimeout : ResultCode::kUpstreamFailed;
+  }
+
+  const std::vector<InstanceName>& failed_on() const { return m_failed_on; }
+
+ private:
+  bool m_idempotent;
+  bool m_may_have_run = false;
+  bool m_timed_out = false;
+  int m_refused = 0;
+  int m_failed = 0;
+  std::vector<InstanceName> m_failed_on;
+};
+
+Forwarder::Forwarder(SlotAllocator* slots, UpstreamClient* client, const Clock* clock)
+    : m_slots(slots), m_client(client), m_clock(clock) {}
+
+WorkOutcome Forwarder::Run(const WorkRequest& work) {
+  const Milliseconds started = m_clock->Now();
+  Attempts attempts(work.service.idempotent);
+  {
+    std::lock_guard lock(m_mutex);
+    m_budgets[work.service.name].OnRequest();
+  }
+  while (true) {
+    const Milliseconds age = m_clock->Now() - started;
+    if (age >= work.queue_deadline) {
+      return {.code = attempts.FinalCode(ResultCode::kNotRunDeadline), .body = ""};
+    }
+    Reason reason;
+    const auto grant = m_slots->Acquire({.service = work.service.name,
+                                         .work_class = work.service.work_class,
+                                         .queue_deadline = work.queue_deadline - age,
+                                         .avoid = attempts.failed_on(),
+                                         .age = age,
+                                         .trial_allowed = work.service.idempotent},
+                                        &reason);
+    if (!grant) return {.code = attempts.FinalCode(reason.code), .body = ""};
+    std::string answer;
+    const UpstreamReading reading = CallUpstream(work, *grant, &answer);
+    if (reading.effect == UpstreamEffect::kDone) return {.code = ResultCode::kOk, .body = answer};
+    const bool go_on = attempts.MayGoOn(reading, grant->upstream);
+    const bool failed = reading.effect == UpstreamEffect::kMayHaveRun;
+    if (!go_on || (failed && !MayRetry(work.service.name))) {
+      return {.code = attempts.FinalCode(ResultCode::kNotRunOverload), .body = ""};
+    }
+  }
+}
+
+UpstreamReading Forwarder::CallUpstream(const WorkRequest& work, const SlotGrant& grant,
+                                        std::string* answer) {
+  // Every call has an id of its own, so the late answer of an earlier call is never accepted.
+  const std::string request_id = RandomHex128();
+  HttpRequest request{.method = "POST",
+                      .path = "/work",
+                      .query = "",
+                      .headers = {{"Request-Id", request_id},
+                                  {"Service", work.service.name.str()},
+                                  {"Assignment", std::to_string(grant.assignment)}},
+                      .body = work.body};
+  if (!work.key.empty()) request.headers.push_back({"Idempotency-Key", work.key});
+  const Milliseconds started = m_clock->Now();
+  const Milliseconds timeout = work.service.run_timeout;
+  HttpOutcome outcome = work.service.idempotent
+                            ? m_client->CallRepeatable(grant.endpoint, request, timeout)
+                            : m_client->CallOnce(grant.endpoint, request, timeout);
+  const UpstreamReading reading = ReadOutcome(outcome, request_id);
+  m_slots->Release(grant, reading.slot, m_clock->Now() - started);
+  if (reading.effect == UpstreamEffect::kDone) *answer = std::move(outcome.reply->body);
+  return reading;
+}
+
+bool Forwarder::MayRetry(const ServiceName& service) {
+  std::lock_guard lock(m_mutex);
+  return m_budgets[service].TryRetry();
+}
+
+}  // namespace endivewood
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -5,23 +5,11 @@
 #include <cxxtools/http/request.h>
 #include <cxxtools/ioerror.h>
 
-#include "endivewood_p.h"
+#include "http_convert.h"
 
 namespace endivewood {
 namespace {
 
-cxxtools::http::Request Convert(const HttpRequest& request) {
-  cxxtools::http::Request converted(request.path);
-  converted.method(request.method);
-  converted.qparams(request.query);
-  for (const HttpHeader& header : request.headers) {
-    converted.setHeader(header.name.c_str(), header.value.c_str());
-  }
-  converted.setHeader("Connection", "close");
-  converted.body() << request.body;
-  return converted;
-}
-
 HttpReply Convert(const cxxtools::http::Reply& reply) {
   HttpReply converted{
       .status = static_cast<int>(reply.httpReturnCode()), .headers = {}, .body = reply.body()};
@@ -39,17 +27,24 @@
 
 }  // namespace
 
-HttpOutcome HttpCall(const Endpoint& peer, const HttpRequest& request, Milliseconds timeout) {
-  const cxxtools::Milliseconds limit(static_cast<double>(timeout.count()));
-  cxxtools::http::Client client;
-  try {
-    client.connect(peer.address, peer.port);
-  } catch (const std::exception& error) {
-    return {.reply = std::nullopt, .failure = CallFailure::kNotSent, .detail = error.what()};
+cxxtools::http::Request ConvertRequest(const HttpRequest& request, bool keep) {
+  cxxtools::http::Request converted(request.path);
+  converted.method(request.method);
+  converted.qparams(request.query);
+  for (const HttpHeader& header : request.headers) {
+    converted.setHeader(header.name.c_str(), header.value.c_str());
   }
+  converted.setHeader("Connection", keep ? "keep-alive" : "close");
+  converted.body() << request.body;
+  return converted;
+}
+
+HttpOutcome ExecuteOn(cxxtools::http::Client* client, const cxxtools::http::Request& request,
+                      Milliseconds timeout) {
+  const cxxtools::Milliseconds limit(static_cast<double>(timeout.count()));
   try {
-    client.execute(Convert(request), limit, limit);
-    HttpReply reply = Convert(client.readBody());
+    client->execute(request, limit, limit);
+    HttpReply reply = Convert(client->readBody());
     if (!IsWhole(reply)) {
       return {.reply = std::nullopt, .failure = CallFailure::kNoAnswer, .detail = "short answer"};
     }
@@ -61,4 +56,14 @@
   }
 }
 
+HttpOutcome HttpCall(const Endpoint& peer, const HttpRequest& request, Milliseconds timeout) {
+  cxxtools::http::Client client;
+  try {
+    client.connect(peer.address, peer.port);
+  } catch (const std::exception& error) {
+    return {.reply = std::nullopt, .failure = CallFailure::kNotSent, .detail = error.what()};
+  }
+  return ExecuteOn(&client, ConvertRequest(request, false), timeout);
+}
+
 }  // namespace endivewood
--- a/src/status.cc
+++ b/src/status.cc
@@ -31,6 +31,7 @@
       {ResultCode::kNotStartedPlatform, "not-started-platform-unreachable", 503},
       {ResultCode::kNotRunCancelled, "not-run-cancelled", 409},
       {ResultCode::kNotRunnable, "not-runnable", 422},
+      {ResultCode::kNotStarted, "not-started", 503},
       {ResultCode::kUnknownEffect, "unknown-effect", 500},
       {ResultCode::kUpstreamFailed, "upstream-failed", 502},
       {ResultCode::kUpstreamTimeout, "upstream-timeout", 504},
