--- a/daemons/endivewood_entry.cc
+++ b/daemons/endivewood_entry.cc
@@ -26,17 +26,16 @@
   if (!settings) return kExitInvalidSettings;
   if (check.getValue()) return 0;
   BlockStopSignals();
-  auto entry = std::make_unique<Entry>(*settings);
+  Entry entry(*settings);
   WaitForStopSignal();
   std::atomic<bool> cut_now{false};
   std::thread second_signal([&] {
     WaitForStopSignal();
     cut_now = true;
   });
-  const int cut = entry->Stop(Milliseconds(config::kStopLimitMs), cut_now);
+  const int cut = entry.Stop(Milliseconds(config::kStopLimitMs), cut_now);
   if (cut > 0) std::cerr << "stopped with " << cut << " requests in progress\n";
-  // Requests that were cut still use the entry; otherwise its end flushes the last answers.
-  if (cut == 0) entry.reset();
+  // Threads that wait for upstreams or for a second signal still use the entry.
   std::quick_exit(cut > 0 ? kExitCutRequests : 0);
 }
 
--- a/src/config.h
+++ b/src/config.h
@@ -38,6 +38,20 @@
 /// Milliseconds after which an unanswered platform call counts as failed.
 inline constexpr std::int64_t kPlatformTimeoutMs = 2000;
 
+/// Records after which a new snapshot is appended. A reader folds at most about twice as many
+/// records before it serves, which takes a few milliseconds.
+inline constexpr std::uint64_t kSnapshotEveryRecords = 256;
+
+/// Milliseconds after which a snapshot is appended again: a third of the shortest retention that
+/// the log service must have (the 600 s of idempotency keys), so that two are always retained.
+inline constexpr std::int64_t kSnapshotMaxAgeMs = 200000;
+
+/// Milliseconds by which each further entry waits for a better ranked one to append a snapshot.
+inline constexpr std::int64_t kSnapshotRankMs = 3000;
+
+/// Milliseconds between two attempts of one entry: an append is resolved within its timeout.
+inline constexpr std::int64_t kSnapshotRetryMs = 2000;
+
 // Request path.
 
 /// Milliseconds after the time in an idempotency key during which the key may be used. The design
@@ -83,6 +97,73 @@
 /// Milliseconds of log time without a sign of life after which an incarnation is fenced. Five
 /// missed signs; a wrong fence costs an "unknown effect" answer, never a second run.
 inline constexpr std::int64_t kFenceAfterMs = 5000;
+/// Bytes of a peer frame: the largest record of the log service and its envelope.
+inline constexpr std::size_t kMaxFrameBytes = (4 << 20) + 4096;
+
+/// Bytes of a frame before the sender has said who it is.
+inline constexpr std::size_t kMaxHelloBytes = 1024;
+
+/// Bytes that wait for a peer that doesn't read. Beyond it the connection is closed.
+inline constexpr std::size_t kMaxPeerBacklogBytes = 3 * kMaxFrameBytes;
+
+/// Milliseconds between two heartbeats; a change of the applied offset sends one at once.
+inline constexpr std::int64_t kHeartbeatMs = 500;
+
+/// Milliseconds of silence after which a peer is suspected: two lost heartbeats and half a period
+/// of delay, and under the 2 s in which urgent work and a leaving instance's work must move on.
+inline constexpr std::int64_t kPeerSuspectMs = 1500;
+
+/// Milliseconds of silence after which a peer's connections are closed. A shorter pause (a stopped
+/// or swapped process) keeps its grants.
+inline constexpr std::int64_t kPeerDeadMs = 5000;
+
+/// Milliseconds between two checks of the peers; also the least time between two heartbeats.
+inline constexpr std::int64_t kPeerTickMs = 20;
+
+/// Milliseconds that a connection attempt to a peer may take, and between two attempts.
+inline constexpr std::int64_t kPeerConnectMs = 500;
+inline constexpr std::int64_t kPeerReconnectMs = 200;
+
+/// Milliseconds for which a peer may be ahead before an entry that reads the log asks for records:
+/// the log usually delivers them first. An entry that has lost the log asks at once.
+inline constexpr std::int64_t kRelayPatienceMs = 300;
+
+/// Milliseconds after which an unanswered request for records goes to another peer: a third of the
+/// 2 s in which a change must be in force.
+inline constexpr std::int64_t kRelayRetryMs = 600;
+
+/// Records and bytes that an entry keeps to relay. A peer that is further behind takes the state.
+inline constexpr std::size_t kRelayRecords = 1024;
+inline constexpr std::size_t kRelayBytes = 2 << 20;
+
+/// Milliseconds that a reader whose offset has expired waits for the state of a peer, which has
+/// checked every snapshot, before it searches the log for one.
+inline constexpr std::int64_t kPeerStateWaitMs = 1000;
+
+/// Requests for a slot that one peer may have waiting, as many as a caller listener has threads.
+inline constexpr std::size_t kMaxRemoteAcquires = 600;
+
+/// Milliseconds for which the result of long work can be asked for; longer than a key can be used,
+/// so that a retried request finds the first one.
+inline constexpr std::int64_t kLongResultRetentionMs = 3600000;
+
+/// Milliseconds after which open long work is recorded again, before its records expire.
+inline constexpr std::int64_t kLongRenewMs = 300000;
+
+/// Threads that run long work at an entry; each holds one upstream slot at a time.
+inline constexpr int kLongRunners = 64;
+
+/// Runners that one service may hold, so that its full pool doesn't stop the long work of others.
+inline constexpr int kLongRunnersPerService = 32;
+
+/// Open long work in all entries together above which no more is accepted.
+inline constexpr std::size_t kMaxOpenLongWork = 5000;
+
+/// Milliseconds before long work that no slot could take is tried again.
+inline constexpr std::int64_t kLongRetryMs = 500;
+
+/// Milliseconds between two looks at an adopted task.
+inline constexpr std::int64_t kAdoptPollMs = 200;
 
 /// Requests of callers in progress at an entry. The remaining threads of the listener answer
 /// refusals and polls for results.
--- a/src/entry.cc
+++ b/src/entry.cc
@@ -3,6 +3,7 @@
 #include "entry.h"
 
 #include "config.h"
+#include "dump.h"
 
 namespace endivewood {
 namespace {
@@ -64,9 +65,17 @@
       m_incarnation(RandomHex128()),
       m_follower(LogClient(settings.platform, m_incarnation), nullptr),
       m_claims(LogClient(settings.platform, m_incarnation), &m_clock),
-      m_slots(m_clock, {.data_centre = settings.data_centre}),
+      m_slots(m_clock, {.data_centre = settings.data_centre,
+                        .on_checkpoint =
+                            [this](const SlotGrant& grant) { m_long.RequestCheckpoint(grant); }}),
       m_upstreams(&m_clock),
       m_forwarder(&m_slots, &m_upstreams, &m_clock),
+      m_long({.client = LogClient(settings.platform, m_incarnation),
+              .slots = &m_slots,
+              .upstreams = &m_upstreams,
+              .clock = &m_clock,
+              .view = [this] { return m_follower.View(); },
+              .runners = config::kLongRunners}),
       m_view_thread([this] { FollowView(); }),
       m_caller_server({.endpoint = settings.callers,
                        .max_threads = config::kMaxHttpThreads,
@@ -75,11 +84,6 @@
       m_control_server({.endpoint = settings.control, .max_threads = kControlThreads},
                        [this](const HttpRequest& request) { return HandleControl(request); }) {}
 
-Entry::~Entry() {
-  m_stopping = true;
-  if (m_view_thread.joinable()) m_view_thread.join();
-}
-
 int Entry::Stop(Milliseconds limit, const std::atomic<bool>& cut_now) {
   m_limiter.Close();
   const Milliseconds end = m_clock.Now() + limit;
@@ -88,8 +92,8 @@
   }
   const int cut = m_limiter.in_progress();
   if (cut > 0) return cut;
-  for (std::thread& thread : m_long_threads) thread.join();
   m_caller_server.Stop();
+  m_long.Stop();
   m_claims.Stop();
   m_slots.Stop();
   m_stopping = true;
@@ -131,18 +135,16 @@
     if (!service->idempotent) return Answer(ResultCode::kNotStarted);
     return Answer(m_limiter.closed() ? ResultCode::kNotRunStopping : ResultCode::kNotRunOverload);
   }
-  HttpReply reply;
-  if (service->work_class == WorkClass::kLong) {
-    reply = AcceptLong(*checked, *service);
-  } else if (service->idempotent) {
-    reply = Answer(Run(*checked, *service));
-  } else {
-    reply = RunClaimed(*checked, *service);
-  }
+  HttpReply reply = Serve(*checked, *service);
   m_limiter.Leave(name);
   return reply;
 }
 
+HttpReply Entry::Serve(const ServiceRequest& request, const ServiceConfig& service) {
+  if (service.work_class == WorkClass::kLong) return AcceptLong(request, service);
+  return service.idempotent ? Answer(Run(request, service)) : RunClaimed(request, service);
+}
+
 HttpReply Entry::RunClaimed(const ServiceRequest& request, const ServiceConfig& service) {
   const IdempotencyKey key(request.key);
   const ClaimAnswer answer =
@@ -158,54 +160,54 @@
 }
 
 WorkOutcome Entry::Run(const ServiceRequest& request, const ServiceConfig& service) {
-  return m_forwarder.Run({.service = service,
-                          .key = request.key,
-                          .queue_deadline = request.queue_deadline,
-                          .body = request.body});
+  const auto arrived = std::chrono::steady_clock::now();
+  WorkOutcome outcome = m_forwarder.Run({.service = service,
+                                         .key = request.key,
+                                         .queue_deadline = request.queue_deadline,
+                                         .body = request.body});
+  const auto total = std::chrono::steady_clock::now() - arrived;
+  m_metrics.RecordRequest({.work_class = service.work_class,
+                           .code = outcome.code,
+                           .waited = outcome.waited,
+                           .total = std::chrono::duration_cast<std::chrono::microseconds>(total)});
+  m_metrics.Add(Counter::kRetries, static_cast<std::uint64_t>(outcome.retries));
+  return outcome;
 }
 
 HttpReply Entry::HandleResult(const HttpRequest& request) {
-  const std::string handle = request.path.substr(sizeof(kResultPrefix) - 1);
-  std::lock_guard lock(m_mutex);
-  const auto found = m_long_requests.find(handle);
-  const bool own = found != m_long_requests.end() &&
-                   found->second.caller_token == request.Header("Caller-Token");
-  if (!own) return Answer(ResultCode::kUnknownResult);
-  return found->second.reply ? *found->second.reply : Answer(ResultCode::kPending);
+  const WorkHandle handle(request.path.substr(sizeof(kResultPrefix) - 1));
+  const Digest caller = DigestOf(request.Header("Caller-Token"));
+  if (request.method == "DELETE") return Answer(m_long.Cancel(handle, caller));
+  if (request.method != "GET") return Answer(ResultCode::kMalformedRequest);
+  const auto item = m_long.Find(handle, caller);
+  if (!item) return Answer(ResultCode::kUnknownResult);
+  return item->finished ? Answer(item->code, item->result) : Answer(ResultCode::kPending);
 }
 
 HttpReply Entry::AcceptLong(const ServiceRequest& request, const ServiceConfig& service) {
-  const std::string handle = RandomHex128();
-  std::lock_guard lock(m_mutex);
-  m_long_requests[handle] = {.caller_token = request.caller_token, .reply = std::nullopt};
-  m_long_threads.emplace_back([this, request, service, handle] {
-    HttpReply reply = Answer(Run(request, service));
-    std::lock_guard result_lock(m_mutex);
-    m_long_requests[handle].reply = std::move(reply);
-  });
-  HttpReply accepted = Answer(ResultCode::kAccepted);
-  accepted.headers.push_back({"Location", kResultPrefix + handle});
-  return accepted;
+  const LongAnswer answer = m_long.Accept(request, service);
+  HttpReply reply = Answer(answer.code);
+  if (answer.handle.valid()) {
+    reply.headers.push_back({"Location", kResultPrefix + answer.handle.str()});
+  }
+  return reply;
 }
 
 HttpReply Entry::HandleControl(const HttpRequest& request) {
-  const auto view = m_follower.View();
-  if (request.path == "/health") {
-    return Answer(m_limiter.closed() ? ResultCode::kNotRunStopping : ResultCode::kOk);
-  }
-  if (request.path != "/dump") return Answer(ResultCode::kMalformedRequest);
+  if (request.path == "/health" && m_limiter.closed()) return Answer(ResultCode::kNotRunStopping);
   const ClaimStats claims = m_claims.Stats();
-  const std::string body =
-      "{\"process\":\"" + m_settings.name + "\",\"data_centre\":\"" + m_settings.data_centre.str() +
-      "\",\"next_offset\":" + std::to_string(view->next_offset) +
-      ",\"config_version\":" + std::to_string(view->config_version) + ",\"preset\":\"" +
-      view->preset.str() + "\",\"requests\":" + std::to_string(m_limiter.in_progress()) +
-      ",\"claim_appends\":" + std::to_string(claims.appends) +
-      ",\"claims\":" + std::to_string(claims.claims) +
-      ",\"claim_keys\":" + std::to_string(claims.keys) +
-      ",\"fences\":" + std::to_string(claims.fences) +
-      ",\"withdrawals\":" + std::to_string(claims.withdrawals) + "}";
-  return {.status = 200, .headers = {{"Content-Type", "application/json"}}, .body = body};
+  const auto number = [](auto value) { return static_cast<std::int64_t>(value); };
+  return AnswerControl(request, {.settings = m_settings,
+                                 .incarnation = m_incarnation,
+                                 .follower = m_follower,
+                                 .metrics = m_metrics,
+                                 .subsystems = {{"requests", m_limiter.in_progress()},
+                                                {"claim_appends", number(claims.appends)},
+                                                {"claims", number(claims.claims)},
+                                                {"long_open", number(m_long.OpenCount())},
+                                                {"claim_keys", number(claims.keys)},
+                                                {"fences", number(claims.fences)},
+                                                {"withdrawals", number(claims.withdrawals)}}});
 }
 
 }  // namespace endivewood
--- a/src/entry.h
+++ b/src/entry.h
@@ -5,6 +5,8 @@
 #include "claim_log.h"
 #include "endivewood_p.h"
 #include "forward.h"
+#include "long_runner.h"
+#include "metrics.h"
 #include "request_check.h"
 #include "settings.h"
 
@@ -32,18 +34,19 @@
 class Entry {
  public:
   explicit Entry(const ProcessSettings& settings);
-  ~Entry();
 
   /// Stops taking requests and answers those in progress.
   /// @param limit time for the requests in progress.
   /// @param cut_now ends the wait early when it becomes true.
-  /// @returns the number of requests that were not answered. When it is not 0 the process must end
-  /// without destroying the entry, because threads still use it.
+  /// @attention The process must then end without destroying the entry: threads that run long work
+  /// still wait for upstreams.
+  /// @returns the number of requests that were not answered.
   int Stop(Milliseconds limit, const std::atomic<bool>& cut_now);
 
  private:
   HttpReply HandleCaller(const HttpRequest& request);
   HttpReply HandleService(const HttpRequest& request);
+  HttpReply Serve(const ServiceRequest& request, const ServiceConfig& service);
   HttpReply HandleControl(const HttpRequest& request);
   HttpReply HandleResult(const HttpRequest& request);
   HttpReply AcceptLong(const ServiceRequest& request, const ServiceConfig& service);
@@ -51,26 +54,19 @@
   WorkOutcome Run(const ServiceRequest& request, const ServiceConfig& service);
   void FollowView();
 
-  /// A long request that callers ask for by its handle.
-  struct LongRequest {
-    std::string caller_token;
-    std::optional<HttpReply> reply;
-  };
-
   ProcessSettings m_settings;
   Incarnation m_incarnation;
   Clock m_clock;
+  Metrics m_metrics;
   FleetFollower m_follower;
   ClaimLog m_claims;
   SlotAllocator m_slots;
   UpstreamClient m_upstreams;
   Forwarder m_forwarder;
+  LongRunner m_long;
   RequestLimiter m_limiter;
   std::atomic<bool> m_stopping{false};
   std::thread m_view_thread;
-  std::mutex m_mutex;
-  std::map<std::string, LongRequest> m_long_requests;
-  std::vector<std::thread> m_long_threads;
   HttpServer m_caller_server;
   HttpServer m_control_server;
 };
--- a/src/forward.cc
+++ b/src/forward.cc
@@ -46,33 +46,45 @@
 WorkOutcome Forwarder::Run(const WorkRequest& work) {
   const Milliseconds started = m_clock->Now();
   Attempts attempts(work.service.idempotent);
+  WorkOutcome outcome;
   {
     std::lock_guard lock(m_mutex);
     m_budgets[work.service.name].OnRequest();
   }
   while (true) {
-    const Milliseconds age = m_clock->Now() - started;
-    if (age >= work.queue_deadline) {
-      return {.code = attempts.FinalCode(ResultCode::kNotRunDeadline), .body = ""};
-    }
-    Reason reason;
-    const auto grant = m_slots->Acquire({.service = work.service.name,
-                                         .work_class = work.service.work_class,
-                                         .queue_deadline = work.queue_deadline - age,
-                                         .avoid = attempts.failed_on(),
-                                         .age = age,
-                                         .trial_allowed = work.service.idempotent},
-                                        &reason);
-    if (!grant) return {.code = attempts.FinalCode(reason.code), .body = ""};
-    std::string answer;
-    const UpstreamReading reading = CallUpstream(work, *grant, &answer);
-    if (reading.effect == UpstreamEffect::kDone) return {.code = ResultCode::kOk, .body = answer};
+    const auto grant = AcquireSlot(work, started, attempts, &outcome);
+    if (!grant) return outcome;
+    const UpstreamReading reading = CallUpstream(work, *grant, &outcome.body);
+    outcome.code = ResultCode::kOk;
+    if (reading.effect == UpstreamEffect::kDone) return outcome;
     const bool go_on = attempts.MayGoOn(reading, grant->upstream);
+    outcome.code = attempts.FinalCode(ResultCode::kNotRunOverload);
     const bool failed = reading.effect == UpstreamEffect::kMayHaveRun;
-    if (!go_on || (failed && !MayRetry(work.service.name))) {
-      return {.code = attempts.FinalCode(ResultCode::kNotRunOverload), .body = ""};
-    }
+    if (!go_on || (failed && !MayRetry(work.service.name))) return outcome;
+    ++outcome.retries;
+  }
+}
+
+std::optional<SlotGrant> Forwarder::AcquireSlot(const WorkRequest& work, Milliseconds started,
+                                                const Attempts& attempts, WorkOutcome* outcome) {
+  const Milliseconds age = m_clock->Now() - started;
+  if (age >= work.queue_deadline) {
+    outcome->code = attempts.FinalCode(ResultCode::kNotRunDeadline);
+    return std::nullopt;
   }
+  Reason reason;
+  const auto waits_from = std::chrono::steady_clock::now();
+  auto grant = m_slots->Acquire({.service = work.service.name,
+                                 .work_class = work.service.work_class,
+                                 .queue_deadline = work.queue_deadline - age,
+                                 .avoid = attempts.failed_on(),
+                                 .age = age,
+                                 .trial_allowed = work.service.idempotent},
+                                &reason);
+  outcome->waited += std::chrono::duration_cast<std::chrono::microseconds>(
+      std::chrono::steady_clock::now() - waits_from);
+  if (!grant) outcome->code = attempts.FinalCode(reason.code);
+  return grant;
 }
 
 UpstreamReading Forwarder::CallUpstream(const WorkRequest& work, const SlotGrant& grant,
--- a/src/forward.h
+++ b/src/forward.h
@@ -20,6 +20,8 @@
 struct WorkOutcome {
   ResultCode code = ResultCode::kOk;
   std::string body;
+  std::chrono::microseconds waited{0};  ///< For slots.
+  int retries = 0;
 };
 
 /// Runs requests. Thread-safe.
@@ -36,6 +38,8 @@
 
   UpstreamReading CallUpstream(const WorkRequest& work, const SlotGrant& grant,
                                std::string* answer);
+  std::optional<SlotGrant> AcquireSlot(const WorkRequest& work, Milliseconds started,
+                                       const Attempts& attempts, WorkOutcome* outcome);
   bool MayRetry(const ServiceName& service);
 
   SlotAllocator* m_slots;
--- /dev/null
+++ b/src/long_work.cc
@@ -0,0 +1,237 @@
+/// @file
+/// The fold of the stream `work`.
+#include "long_work.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "codec.h"
+#include "config.h"
+
+MSGPACK_ADD_ENUM(endivewood::AttemptEnd)
+MSGPACK_ADD_ENUM(endivewood::ResultCode)
+
+// clang-format off
+ENDIVEWOOD_CODEC(endivewood::WorkAccepted, v.handle, v.service, v.caller, v.digest, v.key, v.body)
+ENDIVEWOOD_CODEC(endivewood::WorkTaken, v.handle)
+ENDIVEWOOD_CODEC(endivewood::AttemptStarted, v.handle, v.task, v.upstream, v.endpoint)
+ENDIVEWOOD_CODEC(endivewood::AttemptEnded, v.handle, v.task, v.end, v.progress_ms)
+ENDIVEWOOD_CODEC(endivewood::WorkFinished, v.handle, v.code, v.body)
+ENDIVEWOOD_CODEC(endivewood::CancelWanted, v.handle)
+ENDIVEWOOD_CODEC(endivewood::WorkItem, v.accepted, v.responsible, v.attempt, v.progress_ms,
+                 v.failed_on, v.cancel_wanted, v.finished, v.code, v.result)
+ENDIVEWOOD_CODEC(endivewood::ItemCarried, v.item)
+// clang-format on
+
+namespace endivewood {
+namespace {
+
+/// Fences and signs of life travel by their incarnation alone.
+void PackEvent(msgpack::packer<msgpack::sbuffer>* packer, const WorkEvent& event) {
+  std::visit(
+      [&](const auto& value) {
+        using Value = std::decay_t<decltype(value)>;
+        if constexpr (std::is_same_v<Value, std::monostate>) {
+          packer->pack_nil();
+        } else if constexpr (std::is_same_v<Value, IncarnationFenced>) {
+          packer->pack(value.incarnation);
+        } else {
+          packer->pack(value);
+        }
+      },
+      event);
+}
+
+template <typename Value>
+Value UnpackEvent(const msgpack::object& object) {
+  if constexpr (std::is_same_v<Value, std::monostate>) {
+    return {};
+  } else if constexpr (std::is_same_v<Value, IncarnationFenced>) {
+    return {.incarnation = object.as<Incarnation>()};
+  } else {
+    return object.as<Value>();
+  }
+}
+
+template <std::size_t... Index>
+std::optional<WorkEvent> DecodeEvent(std::size_t kind, const msgpack::object& object,
+                                     std::index_sequence<Index...>) {
+  std::optional<WorkEvent> event;
+  auto decode = [&]<std::size_t kAlternative>() {
+    if (kind != kAlternative) return;
+    event.emplace(UnpackEvent<std::variant_alternative_t<kAlternative, WorkEvent>>(object));
+  };
+  (decode.template operator()<Index>(), ...);
+  return event;
+}
+
+}  // namespace
+
+std::string EncodeWorkRecord(const WorkRecord& record) {
+  msgpack::sbuffer buffer;
+  msgpack::packer<msgpack::sbuffer> packer(buffer);
+  constexpr std::uint32_t kFields = 3;
+  packer.pack_array(kFields);
+  packer.pack(record.author);
+  packer.pack(record.event.index());
+  PackEvent(&packer, record.event);
+  return std::string(buffer.data(), buffer.size());
+}
+
+std::optional<WorkRecord> DecodeWorkRecord(const std::string& payload) {
+  try {
+    const msgpack::object_handle handle = msgpack::unpack(payload.data(), payload.size());
+    const auto [author, kind, object] =
+        handle.get().as<std::tuple<Incarnation, std::size_t, msgpack::object>>();
+    constexpr auto kKinds = std::make_index_sequence<std::variant_size_v<WorkEvent>>{};
+    auto event = DecodeEvent(kind, object, kKinds);
+    if (!event) return std::nullopt;
+    return WorkRecord{.author = author, .event = std::move(*event)};
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+/// Applies one event; each overload returns whether the event was valid.
+struct WorkFold::Applier {
+  WorkFold* fold;
+  Incarnation author;
+
+  WorkItem* Open(const WorkHandle& handle) const {
+    const auto found = fold->m_items.find(handle);
+    const bool open = found != fold->m_items.end() && !found->second.finished;
+    return open ? &found->second : nullptr;
+  }
+
+  /// @returns the open item of which the author is responsible, or nullptr.
+  WorkItem* Own(const WorkHandle& handle) const {
+    WorkItem* item = Open(handle);
+    return item != nullptr && item->responsible == author ? item : nullptr;
+  }
+
+  bool operator()(const WorkAccepted& accepted) const {
+    if (fold->IsFenced(author) || fold->m_items.contains(accepted.handle)) return false;
+    if (accepted.key.valid() && fold->m_by_key.contains(accepted.key)) return false;
+    Insert({.accepted = accepted, .responsible = author, .recorded = fold->m_log_time});
+    return true;
+  }
+
+  bool operator()(const WorkTaken& taken) const {
+    WorkItem* item = Open(taken.handle);
+    if (item == nullptr || item->responsible.valid() || fold->IsFenced(author)) return false;
+    item->responsible = author;
+    return true;
+  }
+
+  bool operator()(const AttemptStarted& attempt) const {
+    WorkItem* item = Own(attempt.handle);
+    if (item == nullptr || item->attempt.task.valid()) return false;
+    item->attempt = attempt;
+    return true;
+  }
+
+  bool operator()(const AttemptEnded& ended) const {
+    WorkItem* item = Own(ended.handle);
+    if (item == nullptr || item->attempt.task != ended.task) return false;
+    if (ended.end == AttemptEnd::kCheckpointed) item->progress_ms = ended.progress_ms;
+    if (ended.end == AttemptEnd::kFailed) NoteFailure(item);
+    item->attempt = {};
+    return true;
+  }
+
+  /// The first complete result of an item is right whoever records it.
+  bool operator()(const WorkFinished& finished) const {
+    WorkItem* item = Open(finished.handle);
+    if (item == nullptr) return false;
+    item->finished = true;
+    item->code = finished.code;
+    item->result = finished.body;
+    item->accepted.body.clear();
+    item->attempt = {};
+    item->recorded = fold->m_log_time;
+    --fold->m_open;
+    return true;
+  }
+
+  bool operator()(const CancelWanted& cancel) const {
+    WorkItem* item = Open(cancel.handle);
+    if (item == nullptr) return false;
+    item->cancel_wanted = true;
+    return true;
+  }
+
+  bool operator()(const IncarnationFenced& fence) const {
+    fold->m_fences[fence.incarnation] = fold->m_log_time;
+    for (auto& [handle, item] : fold->m_items) {
+      if (item.responsible == fence.incarnation) item.responsible = Incarnation();
+    }
+    return true;
+  }
+
+  /// A reader that holds the item ignores its repetition but for the time.
+  bool operator()(const ItemCarried& carried) const {
+    const auto found = fold->m_items.find(carried.item.accepted.handle);
+    if (found == fold->m_items.end()) Insert(carried.item);
+    WorkItem& item = fold->m_items[carried.item.accepted.handle];
+    if (!item.finished) item.recorded = fold->m_log_time;
+    if (fold->IsFenced(item.responsible)) item.responsible = Incarnation();
+    return true;
+  }
+
+  bool operator()(std::monostate) const { return true; }
+
+ private:
+  void Insert(const WorkItem& item) const {
+    if (item.accepted.key.valid()) fold->m_by_key[item.accepted.key] = item.accepted.handle;
+    if (!item.finished) ++fold->m_open;
+    fold->m_items[item.accepted.handle] = item;
+  }
+
+  static void NoteFailure(WorkItem* item) {
+    const InstanceName& upstream = item->attempt.upstream;
+    std::vector<InstanceName>& failed = item->failed_on;
+    if (std::find(failed.begin(), failed.end(), upstream) == failed.end()) {
+      failed.push_back(upstream);
+    }
+  }
+};
+
+bool WorkFold::Apply(std::int64_t time_ms, const std::string& payload) {
+  m_log_time = std::max(m_log_time, Milliseconds(time_ms));
+  const auto record = DecodeWorkRecord(payload);
+  if (!record) return false;
+  m_signs_of_life[record->author] = m_log_time;
+  const bool valid = std::visit(Applier{.fold = this, .author = record->author}, record->event);
+  Expire();
+  return valid;
+}
+
+void WorkFold::Expire() {
+  const Milliseconds results_from = m_log_time - Milliseconds(config::kLongResultRetentionMs);
+  std::erase_if(m_items, [&](const auto& entry) {
+    const WorkItem& item = entry.second;
+    const bool expired = item.finished && item.recorded < results_from;
+    if (expired) m_by_key.erase(item.accepted.key);
+    return expired;
+  });
+  const Milliseconds fences_from = m_log_time - Milliseconds(config::kFenceRetentionMs);
+  std::erase_if(m_fences, [&](const auto& item) { return item.second < fences_from; });
+  std::erase_if(m_signs_of_life, [&](const auto& item) { return item.second < results_from; });
+}
+
+const WorkItem* WorkFold::Find(const WorkHandle& handle) const {
+  const auto found = m_items.find(handle);
+  return found == m_items.end() ? nullptr : &found->second;
+}
+
+const WorkItem* WorkFold::FindKey(const IdempotencyKey& key) const {
+  const auto found = m_by_key.find(key);
+  return found == m_by_key.end() ? nullptr : Find(found->second);
+}
+
+Milliseconds WorkFold::LastSignOfLife(const Incarnation& incarnation) const {
+  const auto found = m_signs_of_life.find(incarnation);
+  return found == m_signs_of_life.end() ? Milliseconds(0) : found->second;
+}
+
+}  // namespace endivewood
