--- a/src/claim_log.cc
+++ b/src/claim_log.cc
@@ -251,10 +251,11 @@
   Lock lock(m_mutex);
   while (!m_stopping) {
     const std::uint64_t from = m_next;
+    // Claims start with the first answer, which must not wait for a record.
+    const Milliseconds wait(m_synced ? config::kFollowWaitMs : 0);
     lock.unlock();
     Reason reason;
-    const auto batch = m_client.Read(kStream, from, config::kFollowBatch,
-                                     Milliseconds(config::kFollowWaitMs), &reason);
+    const auto batch = m_client.Read(kStream, from, config::kFollowBatch, wait, &reason);
     lock.lock();
     m_connected = batch.has_value();
     if (batch) {
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -42,7 +42,7 @@
 
 inline void SetFaults(const Endpoint& standin, const std::string& query) {
   const HttpOutcome outcome =
-      HttpCall(standin, {.method = "POST", .path = "/faults", .query = query}, Milliseconds(5000));
+      HttpCall(standin, {.method = "POST", .path = "/faults?" + query}, Milliseconds(5000));
   REQUIRE(outcome.reply);
 }
 
