--- a/src/entry.cc
+++ b/src/entry.cc
@@ -13,18 +13,70 @@
 constexpr unsigned kControlThreads = 16;
 
 HttpReply Answer(ResultCode code, std::string body = "") {
-  if (body.empty()) body = ResultCodeName(code);
+  if (body.empty() && code != ResultCode::kOk) body = ResultCodeName(code);
   return {.status = HttpStatusOf(code),
           .headers = {{"Result-Code", std::to_string(static_cast<int>(code))}},
           .body = std::move(body)};
 }
 
+HttpReply Answer(const WorkOutcome& outcome) { return Answer(outcome.code, outcome.body); }
+
+/// The answers to a request that doesn't own its key.
+struct KeyAnswer {
+  HttpReply operator()(const ClaimOwned&) const { return Answer(ResultCode::kUnknownEffect); }
+  HttpReply operator()(const ClaimResolved& known) const { return Answer(known.code, known.body); }
+  HttpReply operator()(const ClaimRefused&) const { return Answer(ResultCode::kKeyReused); }
+  HttpReply operator()(const ClaimExpired&) const { return Answer(ResultCode::kKeyExpired); }
+  HttpReply operator()(const ClaimUnknown&) const { return Answer(ResultCode::kUnknownEffect); }
+  HttpReply operator()(const ClaimInProgress&) const { return Answer(ResultCode::kPending); }
+  HttpReply operator()(const ClaimNotStarted& attempt) const {
+    return Answer(ResultCode::kNotStartedPlatform,
+                  "not started, retry with the same key: " + attempt.cause);
+  }
+};
+
 }  // namespace
 
+bool RequestLimiter::Enter(const ServiceName& service) {
+  std::lock_guard lock(m_mutex);
+  int& of_service = m_by_service[service];
+  const bool full =
+      m_total >= config::kMaxRequestsInProgress || of_service >= config::kMaxRequestsPerService;
+  if (full || m_closed) return false;
+  ++of_service;
+  ++m_total;
+  return true;
+}
+
+void RequestLimiter::Leave(const ServiceName& service) {
+  std::lock_guard lock(m_mutex);
+  const auto of_service = m_by_service.find(service);
+  if (--of_service->second == 0) m_by_service.erase(of_service);
+  --m_total;
+}
+
+void RequestLimiter::Close() {
+  std::lock_guard lock(m_mutex);
+  m_closed = true;
+}
+
 Entry::Entry(const ProcessSettings& settings)
     : m_settings(settings),
       m_incarnation(RandomHex128()),
       m_follower(LogClient(settings.platform, m_incarnation), nullptr),
+      m_claims(LogClient(settings.platform, m_incarnation), &m_clock),
+      m_slots(m_clock, {.data_centre = settings.data_centre,
+                        .on_checkpoint =
+                            [this](const SlotGrant& grant) { m_long.RequestCheckpoint(grant); }}),
+      m_upstreams(&m_clock),
+      m_forwarder(&m_slots, &m_upstreams, &m_clock),
+      m_long({.client = LogClient(settings.platform, m_incarnation),
+              .slots = &m_slots,
+              .upstreams = &m_upstreams,
+              .clock = &m_clock,
+              .view = [this] { return m_follower.View(); },
+              .runners = config::kLongRunners}),
+      m_view_thread([this] { FollowView(); }),
       m_caller_server({.endpoint = settings.callers,
                        .max_threads = config::kMaxHttpThreads,
                        .max_body_bytes = config::kMaxBodyBytes},
@@ -32,84 +84,130 @@
       m_control_server({.endpoint = settings.control, .max_threads = kControlThreads},
                        [this](const HttpRequest& request) { return HandleControl(request); }) {}
 
-void Entry::Stop() {
+int Entry::Stop(Milliseconds limit, const std::atomic<bool>& cut_now) {
+  m_limiter.Close();
+  const Milliseconds end = m_clock.Now() + limit;
+  while (m_limiter.in_progress() > 0 && m_clock.Now() < end && !cut_now) {
+    std::this_thread::sleep_for(Milliseconds(config::kViewPollMs));
+  }
+  const int cut = m_limiter.in_progress();
+  if (cut > 0) return cut;
   m_caller_server.Stop();
+  m_long.Stop();
+  m_claims.Stop();
+  m_slots.Stop();
+  m_stopping = true;
   m_control_server.Stop();
   m_follower.Stop();
-  for (std::thread& thread : m_long_threads) thread.join();
+  return 0;
+}
+
+void Entry::FollowView() {
+  std::shared_ptr<const FleetView> current;
+  while (!m_stopping) {
+    auto view = m_follower.View();
+    if (view != current) m_slots.SetView(view);
+    current = std::move(view);
+    std::this_thread::sleep_for(Milliseconds(config::kViewPollMs));
+  }
 }
 
 HttpReply Entry::HandleCaller(const HttpRequest& request) {
-  if (request.path.starts_with(kResultPrefix)) return HandleResult(request);
+  const std::string request_id = RandomHex128();
+  HttpReply reply =
+      request.path.starts_with(kResultPrefix) ? HandleResult(request) : HandleService(request);
+  reply.headers.push_back({"Request-Id", request_id});
+  // A closed connection makes the caller's next request reach an entry that still serves.
+  if (m_limiter.closed()) reply.headers.push_back({"Connection", "close"});
+  return reply;
+}
+
+HttpReply Entry::HandleService(const HttpRequest& request) {
   if (!request.path.starts_with(kServicePrefix)) return Answer(ResultCode::kMalformedRequest);
   const ServiceName name(request.path.substr(sizeof(kServicePrefix) - 1));
   const auto view = m_follower.View();
   const ServiceConfig* service = view->config.FindService(name);
   if (service == nullptr) return Answer(ResultCode::kUnknownService);
-  if (service->work_class == WorkClass::kLong) return AcceptLong(request, *service);
-  return Forward(request, *service);
+  Reason reason;
+  const auto checked = CheckServiceRequest(request, *service, m_clock.UnixTime(), &reason);
+  if (!checked) return Answer(reason.code, reason.text);
+  if (!m_limiter.Enter(name)) {
+    if (!service->idempotent) return Answer(ResultCode::kNotStarted);
+    return Answer(m_limiter.closed() ? ResultCode::kNotRunStopping : ResultCode::kNotRunOverload);
+  }
+  HttpReply reply = Serve(*checked, *service);
+  m_limiter.Leave(name);
+  return reply;
 }
 
-HttpReply Entry::HandleResult(const HttpRequest& request) {
-  const std::string handle = request.path.substr(sizeof(kResultPrefix) - 1);
-  std::lock_guard lock(m_mutex);
-  const auto found = m_long_requests.find(handle);
-  const bool own = found != m_long_requests.end() &&
-                   found->second.caller_token == request.Header("Caller-Token");
-  if (!own) return Answer(ResultCode::kUnknownResult);
-  return found->second.reply ? *found->second.reply : Answer(ResultCode::kPending);
+HttpReply Entry::Serve(const ServiceRequest& request, const ServiceConfig& service) {
+  if (service.work_class == WorkClass::kLong) return AcceptLong(request, service);
+  return service.idempotent ? Answer(Run(request, service)) : RunClaimed(request, service);
 }
 
-HttpReply Entry::AcceptLong(const HttpRequest& request, const ServiceConfig& service) {
-  const std::string token = request.Header("Caller-Token");
-  if (token.empty()) return Answer(ResultCode::kMissingCallerToken);
-  const std::string handle = RandomHex128();
-  std::lock_guard lock(m_mutex);
-  m_long_requests[handle] = {.caller_token = token, .reply = std::nullopt};
-  m_long_threads.emplace_back([this, request, service, handle] {
-    HttpReply reply = Forward(request, service);
-    std::lock_guard result_lock(m_mutex);
-    m_long_requests[handle].reply = std::move(reply);
-  });
-  HttpReply accepted = Answer(ResultCode::kAccepted);
-  accepted.headers.push_back({"Location", kResultPrefix + handle});
-  return accepted;
+HttpReply Entry::RunClaimed(const ServiceRequest& request, const ServiceConfig& service) {
+  const IdempotencyKey key(request.key);
+  const ClaimAnswer answer =
+      m_claims.Claim({.key = key,
+                      .caller = DigestOf(request.caller_token),
+                      .body = DigestOf(service.name.str() + "\n" + request.body),
+                      .wait = service.queue_deadline + service.run_timeout});
+  const auto* owned = std::get_if<ClaimOwned>(&answer);
+  if (owned == nullptr) return std::visit(KeyAnswer(), answer);
+  const WorkOutcome outcome = Run(request, service);
+  m_claims.Record(key, owned->id, outcome.code, outcome.body);
+  return Answer(outcome);
 }
 
-HttpReply Entry::Forward(const HttpRequest& request, const ServiceConfig& service) {
-  const auto view = m_follower.View();
-  std::vector<const InstanceView*> upstreams;
-  for (const InstanceView* instance : view->ReadyInstances(service.name)) {
-    if (instance->data_centre == m_settings.data_centre) upstreams.push_back(instance);
-  }
-  if (upstreams.empty()) return Answer(ResultCode::kNotRunNoUpstream);
-  const std::string request_id = RandomHex128();
-  const InstanceView* upstream = upstreams[m_next_upstream++ % upstreams.size()];
-  HttpRequest work{.method = "POST",
-                   .path = "/work",
-                   .query = "",
-                   .headers = {{"Request-Id", request_id},
-                               {"Service", service.name.str()},
-                               {"Assignment", std::to_string(upstream->assignment)}},
-                   .body = request.body};
-  const std::string key = request.Header("Idempotency-Key");
-  if (!key.empty()) work.headers.push_back({"Idempotency-Key", key});
-  const HttpOutcome outcome = HttpCall(upstream->endpoint, work, service.run_timeout);
-  if (!outcome.reply) return Answer(ResultCode::kUpstreamFailed);
-  if (outcome.reply->status == 503) return Answer(ResultCode::kNotRunOverload);
-  if (outcome.reply->status != 200 || outcome.reply->Header("Request-Id") != request_id) {
-    return Answer(ResultCode::kUpstreamFailed);
+WorkOutcome Entry::Run(const ServiceRequest& request, const ServiceConfig& service) {
+  const auto arrived = std::chrono::steady_clock::now();
+  WorkOutcome outcome = m_forwarder.Run({.service = service,
+                                         .key = request.key,
+                                         .queue_deadline = request.queue_deadline,
+                                         .body = request.body});
+  const auto total = std::chrono::steady_clock::now() - arrived;
+  m_metrics.RecordRequest({.work_class = service.work_class,
+                           .code = outcome.code,
+                           .waited = outcome.waited,
+                           .total = std::chrono::duration_cast<std::chrono::microseconds>(total)});
+  m_metrics.Add(Counter::kRetries, static_cast<std::uint64_t>(outcome.retries));
+  return outcome;
+}
+
+HttpReply Entry::HandleResult(const HttpRequest& request) {
+  const WorkHandle handle(request.path.substr(sizeof(kResultPrefix) - 1));
+  const Digest caller = DigestOf(request.Header("Caller-Token"));
+  if (request.method == "DELETE") return Answer(m_long.Cancel(handle, caller));
+  if (request.method != "GET") return Answer(ResultCode::kMalformedRequest);
+  const auto item = m_long.Find(handle, caller);
+  if (!item) return Answer(ResultCode::kUnknownResult);
+  return item->finished ? Answer(item->code, item->result) : Answer(ResultCode::kPending);
+}
+
+HttpReply Entry::AcceptLong(const ServiceRequest& request, const ServiceConfig& service) {
+  const LongAnswer answer = m_long.Accept(request, service);
+  HttpReply reply = Answer(answer.code);
+  if (answer.handle.valid()) {
+    reply.headers.push_back({"Location", kResultPrefix + answer.handle.str()});
   }
-  HttpReply reply = Answer(ResultCode::kOk, outcome.reply->body);
-  reply.headers.push_back({"Request-Id", request_id});
   return reply;
 }
 
 HttpReply Entry::HandleControl(const HttpRequest& request) {
+  if (request.path == "/health" && m_limiter.closed()) return Answer(ResultCode::kNotRunStopping);
+  const ClaimStats claims = m_claims.Stats();
+  const auto number = [](auto value) { return static_cast<std::int64_t>(value); };
   return AnswerControl(request, {.settings = m_settings,
                                  .incarnation = m_incarnation,
                                  .follower = m_follower,
-                                 .metrics = m_metrics});
+                                 .metrics = m_metrics,
+                                 .subsystems = {{"requests", m_limiter.in_progress()},
+                                                {"claim_appends", number(claims.appends)},
+                                                {"claims", number(claims.claims)},
+                                                {"long_open", number(m_long.OpenCount())},
+                                                {"claim_keys", number(claims.keys)},
+                                                {"fences", number(claims.fences)},
+                                                {"withdrawals", number(claims.withdrawals)}}});
 }
 
 }  // namespace endivewood
--- /dev/null
+++ b/src/long_runner.cc
@@ -0,0 +1,433 @@
+/// @file
+/// Runs accepted long work.
+#include "long_runner.h"
+
+#include <algorithm>
+
+#include "config.h"
+
+namespace endivewood {
+namespace {
+
+constexpr char kStream[] = "work";
+constexpr Milliseconds kPoll{100};
+constexpr Milliseconds kTaskTimeout{2000};
+constexpr Milliseconds kQueueWait{10000};
+constexpr int kLostTaskLooks = 3;
+
+HttpOutcome CallTask(const AttemptStarted& attempt, const std::string& method,
+                     const std::string& suffix = "") {
+  return HttpCall(attempt.endpoint,
+                  {.method = method,
+                   .path = "/tasks/" + attempt.task.str() + suffix,
+                   .query = "",
+                   .headers = {},
+                   .body = ""},
+                  kTaskTimeout);
+}
+
+}  // namespace
+
+LongRunner::LongRunner(LongRunnerOptions options)
+    : m_options(std::move(options)),
+      m_self(RandomHex128()),
+      m_follow_thread([this] { Follow(); }),
+      m_keep_thread([this] { Keep(); }) {
+  for (int number = 0; number < m_options.runners; ++number) {
+    m_runners.emplace_back([this] { RunnerLoop(); });
+  }
+}
+
+void LongRunner::Stop() {
+  if (m_stopping.exchange(true)) return;
+  m_changed.notify_all();
+  m_keep_thread.join();
+  Reason reason;
+  if (OpenCount() > 0) Append(IncarnationFenced{.incarnation = m_self}, &reason);
+  m_follow_thread.join();
+  for (std::thread& runner : m_runners) runner.detach();
+}
+
+std::size_t LongRunner::OpenCount() const {
+  Lock lock(m_mutex);
+  return m_fold.OpenCount();
+}
+
+// ---------------------------------------------------------------------------------------------
+// Callers
+
+LongAnswer LongRunner::Accept(const ServiceRequest& request, const ServiceConfig& service) {
+  const WorkAccepted accepted{.handle = WorkHandle(RandomHex128()),
+                              .service = service.name,
+                              .caller = DigestOf(request.caller_token),
+                              .digest = DigestOf(service.name.str() + "\n" + request.body),
+                              .key = IdempotencyKey(service.idempotent ? "" : request.key),
+                              .body = request.body};
+  Lock lock(m_mutex);
+  const auto known = [&]() -> std::optional<LongAnswer> {
+    const WorkItem* item = m_fold.Find(accepted.handle);
+    if (item == nullptr && accepted.key.valid()) item = m_fold.FindKey(accepted.key);
+    if (item == nullptr) return std::nullopt;
+    const bool same =
+        item->accepted.caller == accepted.caller && item->accepted.digest == accepted.digest;
+    if (!same) return LongAnswer{.code = ResultCode::kKeyReused, .handle = {}};
+    return LongAnswer{.code = ResultCode::kAccepted, .handle = item->accepted.handle};
+  };
+  if (const auto answer = known()) return *answer;
+  if (m_fold.OpenCount() >= config::kMaxOpenLongWork) return {.code = ResultCode::kNotStarted};
+  lock.unlock();
+  Reason reason;
+  const bool appended = Append(accepted, &reason);
+  if (!appended && reason.code == ResultCode::kPlatformUnreachable) {
+    return {.code = ResultCode::kNotStartedPlatform, .handle = {}};
+  }
+  lock.lock();
+  WaitFor(&lock, [&] { return known().has_value(); });
+  // The record may still appear, so neither "accepted" nor "not started" would be true.
+  return known().value_or(LongAnswer{.code = ResultCode::kAppendUncertain, .handle = {}});
+}
+
+std::optional<WorkItem> LongRunner::Find(const WorkHandle& handle, const Digest& caller) const {
+  Lock lock(m_mutex);
+  const WorkItem* item = m_fold.Find(handle);
+  if (item == nullptr || item->accepted.caller != caller) return std::nullopt;
+  return *item;
+}
+
+ResultCode LongRunner::Cancel(const WorkHandle& handle, const Digest& caller) {
+  const auto item = Find(handle, caller);
+  if (!item) return ResultCode::kUnknownResult;
+  if (item->finished) return item->code;
+  Reason reason;
+  const bool appended = Append(CancelWanted{.handle = handle}, &reason);
+  return appended ? ResultCode::kPending : reason.code;
+}
+
+void LongRunner::RequestCheckpoint(const SlotGrant& grant) {
+  Lock lock(m_mutex);
+  const auto found = m_by_grant.find(grant.id);
+  if (found == m_by_grant.end() || m_stopping) return;
+  const AttemptStarted attempt = found->second;
+  std::thread([attempt] { CallTask(attempt, "POST", "/checkpoint"); }).detach();
+}
+
+// ---------------------------------------------------------------------------------------------
+// Records
+
+bool LongRunner::Append(const WorkEvent& event, Reason* reason) {
+  Incarnation self;
+  {
+    Lock lock(m_mutex);
+    self = m_self;
+    m_last_append = m_options.clock->Now();
+  }
+  const std::string payload = EncodeWorkRecord({.author = self, .event = event});
+  return m_options.client.Append(kStream, payload, reason).has_value();
+}
+
+bool LongRunner::WaitFor(Lock* lock, const std::function<bool()>& condition) {
+  const Milliseconds end = m_options.clock->Now() + Milliseconds(config::kClaimTimeoutMs);
+  while (!condition() && !m_stopping && m_options.clock->Now() < end) {
+    m_changed.wait_for(*lock, kPoll);
+  }
+  return condition();
+}
+
+void LongRunner::AppendUntil(const WorkEvent& event, const std::function<bool()>& settled) {
+  while (!m_stopping) {
+    Reason reason;
+    const bool appended = Append(event, &reason);
+    Lock lock(m_mutex);
+    if (WaitFor(&lock, settled)) return;
+    if (!appended) m_changed.wait_for(lock, Milliseconds(config::kFollowRetryMs));
+  }
+}
+
+void LongRunner::Follow() {
+  Lock lock(m_mutex);
+  while (!m_stopping) {
+    const std::uint64_t from = m_next;
+    lock.unlock();
+    Reason reason;
+    const auto batch = m_options.client.Read(kStream, from, config::kFollowBatch,
+                                             Milliseconds(config::kFollowWaitMs), &reason);
+    lock.lock();
+    if (!batch) {
+      m_watched_from = Milliseconds::max();
+      if (reason.code == ResultCode::kOffsetExpired) {
+        // Open work is carried to newer records before its older ones expire. A fence may lie in
+        // the gap, so this incarnation ends.
+        m_next = std::strtoull(reason.text.c_str(), nullptr, 10);
+        m_self = Incarnation(RandomHex128());
+      }
+      m_changed.wait_for(lock, Milliseconds(config::kFollowRetryMs));
+      continue;
+    }
+    for (const LogRecord& record : batch->records) m_fold.Apply(record.time_ms, record.payload);
+    m_next = batch->next_offset;
+    if (batch->records.empty()) continue;
+    const bool watches_again = m_watched_from == Milliseconds::max();
+    if (watches_again) m_watched_from = Milliseconds(batch->records.back().time_ms);
+    if (m_fold.IsFenced(m_self)) m_self = Incarnation(RandomHex128());
+    m_changed.notify_all();
+  }
+}
+
+// ---------------------------------------------------------------------------------------------
+// Signs of life, fences, takeover, renewal
+
+void LongRunner::Keep() {
+  while (!m_stopping) {
+    KeepOnce();
+    Lock lock(m_mutex);
+    m_changed.wait_for(lock, Milliseconds(config::kAdoptPollMs));
+  }
+}
+
+void LongRunner::KeepOnce() {
+  CancelRunning();
+  for (const WorkEvent& event : DueEvents()) {
+    Reason reason;
+    if (m_stopping || !Append(event, &reason)) return;
+  }
+}
+
+std::vector<WorkEvent> LongRunner::DueEvents() {
+  std::vector<WorkEvent> events;
+  Lock lock(m_mutex);
+  const Milliseconds since = m_options.clock->Now() - m_last_append;
+  const bool sign_due = since >= Milliseconds(config::kSignOfLifeMs);
+  if (m_fold.OpenCount() == 0 || !sign_due) return events;
+  events.emplace_back(std::monostate{});
+  std::set<Incarnation> silent;
+  for (const auto& [handle, item] : m_fold.items()) {
+    if (item.finished || events.size() > config::kMaxClaimBatch) continue;
+    const Milliseconds last = std::max(m_fold.LastSignOfLife(item.responsible), m_watched_from);
+    const bool is_silent = m_fold.LogTime() - last > Milliseconds(config::kFenceAfterMs);
+    const bool is_old = item.recorded + Milliseconds(config::kLongRenewMs) < m_fold.LogTime();
+    if (!item.responsible.valid()) {
+      events.emplace_back(WorkTaken{.handle = handle});
+    } else if (item.responsible != m_self && is_silent) {
+      silent.insert(item.responsible);
+    } else if (item.responsible == m_self && is_old) {
+      events.emplace_back(ItemCarried{.item = item});
+    }
+  }
+  for (const Incarnation& author : silent) {
+    events.emplace_back(IncarnationFenced{.incarnation = author});
+  }
+  return events;
+}
+
+void LongRunner::CancelRunning() {
+  Lock lock(m_mutex);
+  for (const auto& [grant, attempt] : m_by_grant) {
+    const WorkItem* item = m_fold.Find(attempt.handle);
+    if (item == nullptr || !item->cancel_wanted) continue;
+    if (!m_cancelled.insert(attempt.task).second) continue;
+    std::thread([attempt = attempt] { CallTask(attempt, "DELETE"); }).detach();
+  }
+}
+
+// ---------------------------------------------------------------------------------------------
+// Runners
+
+void LongRunner::RunnerLoop() {
+  while (!m_stopping) {
+    const auto item = PickItem();
+    if (!item) continue;
+    RunItem(*item);
+    Lock lock(m_mutex);
+    m_running.erase(item->accepted.handle);
+  }
+}
+
+std::optional<WorkItem> LongRunner::PickItem() {
+  Lock lock(m_mutex);
+  const Milliseconds now = m_options.clock->Now();
+  const WorkItem* chosen = nullptr;
+  for (const auto& [handle, item] : m_fold.items()) {
+    if (item.finished || item.responsible != m_self || m_running.contains(handle)) continue;
+    if (IsServiceFull(item.accepted.service)) continue;
+    const auto delayed = m_not_before.find(handle);
+    if (delayed != m_not_before.end() && delayed->second > now) continue;
+    if (chosen == nullptr || item.recorded < chosen->recorded) chosen = &item;
+  }
+  if (chosen == nullptr) {
+    m_changed.wait_for(lock, kPoll);
+    return std::nullopt;
+  }
+  m_not_before.erase(chosen->accepted.handle);
+  m_running[chosen->accepted.handle] = chosen->accepted.service;
+  return *chosen;
+}
+
+bool LongRunner::IsServiceFull(const ServiceName& service) const {
+  const auto same = [&](const auto& running) { return running.second == service; };
+  const auto count = std::count_if(m_running.begin(), m_running.end(), same);
+  return count >= config::kLongRunnersPerService;
+}
+
+void LongRunner::Delay(const WorkHandle& handle) {
+  Lock lock(m_mutex);
+  m_not_before[handle] = m_options.clock->Now() + Milliseconds(config::kLongRetryMs);
+}
+
+bool LongRunner::IsCancelWanted(const WorkHandle& handle) const {
+  Lock lock(m_mutex);
+  const WorkItem* item = m_fold.Find(handle);
+  return item != nullptr && item->cancel_wanted;
+}
+
+bool LongRunner::IsOwn(const WorkHandle& handle) const {
+  const WorkItem* item = m_fold.Find(handle);
+  return item != nullptr && !item->finished && item->responsible == m_self;
+}
+
+void LongRunner::RunItem(const WorkItem& item) {
+  const WorkHandle& handle = item.accepted.handle;
+  const auto view = m_options.view();
+  const ServiceConfig* service = view->config.FindService(item.accepted.service);
+  if (service == nullptr) return Delay(handle);
+  if (item.attempt.task.valid()) {
+    Lock lock(m_mutex);
+    const bool unsent = m_unsent.contains(item.attempt.task);
+    lock.unlock();
+    if (unsent) return EndAttempt(item.attempt, AttemptEnd::kNotRun, 0);
+    return Adopt(item, item.attempt, *service);
+  }
+  if (item.cancel_wanted) {
+    const bool ran = item.progress_ms > 0 || !item.failed_on.empty();
+    return Finish(handle, ran ? ResultCode::kUnknownEffect : ResultCode::kNotRunCancelled, "");
+  }
+  if (item.failed_on.size() >= config::kNotRunnableFailures) {
+    std::string text = "failed on";
+    for (const InstanceName& name : item.failed_on) text += " " + name.str();
+    return Finish(handle, ResultCode::kNotRunnable, text);
+  }
+  RunAttempt(item, *service);
+}
+
+void LongRunner::RunAttempt(const WorkItem& item, const ServiceConfig& service) {
+  Reason reason;
+  const auto grant = m_options.slots->Acquire({.service = service.name,
+                                               .work_class = WorkClass::kLong,
+                                               .queue_deadline = kQueueWait,
+                                               .avoid = item.failed_on,
+                                               .trial_allowed = service.idempotent},
+                                              &reason);
+  if (!grant) return Delay(item.accepted.handle);
+  const AttemptStarted attempt{.handle = item.accepted.handle,
+                               .task = TaskId(RandomHex128()),
+                               .upstream = grant->upstream,
+                               .endpoint = grant->endpoint};
+  if (!RecordAttempt(attempt)) {
+    m_options.slots->Release(*grant, SlotOutcome::kCancelled, Milliseconds(0));
+    return Delay(item.accepted.handle);
+  }
+  CallUpstream(item, service, *grant, attempt);
+}
+
+bool LongRunner::RecordAttempt(const AttemptStarted& attempt) {
+  Reason reason;
+  Append(attempt, &reason);
+  Lock lock(m_mutex);
+  const bool recorded = WaitFor(&lock, [&] {
+    const WorkItem* item = m_fold.Find(attempt.handle);
+    return item != nullptr && item->attempt.task == attempt.task;
+  });
+  const bool may_send = recorded && !m_stopping && IsOwn(attempt.handle);
+  if (!may_send) m_unsent.insert(attempt.task);
+  return may_send;
+}
+
+void LongRunner::CallUpstream(const WorkItem& item, const ServiceConfig& service,
+                              const SlotGrant& grant, const AttemptStarted& attempt) {
+  {
+    Lock lock(m_mutex);
+    m_by_grant[grant.id] = attempt;
+  }
+  HttpRequest request{.method = "POST",
+                      .path = "/work",
+                      .query = "",
+                      .headers = {{"Request-Id", attempt.task.str()},
+                                  {"Service", service.name.str()},
+                                  {"Assignment", std::to_string(grant.assignment)},
+                                  {"Resume-From", std::to_string(item.progress_ms)}},
+                      .body = item.accepted.body};
+  if (item.accepted.key.valid()) {
+    request.headers.push_back({"Idempotency-Key", item.accepted.key.str()});
+  }
+  const Milliseconds started = m_options.clock->Now();
+  const HttpOutcome outcome =
+      m_options.upstreams->CallOnce(grant.endpoint, request, service.run_timeout);
+  UpstreamReading reading = ReadOutcome(outcome, attempt.task.str());
+  const bool checkpointed = reading.effect == UpstreamEffect::kDone &&
+                            outcome.reply->Header("Task-State") == "checkpointed";
+  if (checkpointed) reading.slot = SlotOutcome::kCheckpointed;
+  m_options.slots->Release(grant, reading.slot, m_options.clock->Now() - started);
+  {
+    Lock lock(m_mutex);
+    m_by_grant.erase(grant.id);
+    m_cancelled.erase(attempt.task);
+  }
+  if (reading.effect == UpstreamEffect::kNotRun) {
+    EndAttempt(attempt, AttemptEnd::kNotRun, 0);
+    return Delay(attempt.handle);
+  }
+  if (reading.effect == UpstreamEffect::kDone && SettleByState(attempt, *outcome.reply)) return;
+  Adopt(item, attempt, service);
+}
+
+void LongRunner::Adopt(const WorkItem& item, const AttemptStarted& attempt,
+                       const ServiceConfig& service) {
+  const Milliseconds end = m_options.clock->Now() + service.run_timeout;
+  bool cancelled = false;
+  for (int lost = 0; lost < kLostTaskLooks && m_options.clock->Now() < end && !m_stopping;) {
+    if (IsCancelWanted(attempt.handle) && !cancelled) {
+      CallTask(attempt, "DELETE");
+      cancelled = true;
+    }
+    const HttpOutcome outcome = CallTask(attempt, "GET");
+    const bool found =
+        outcome.reply && ReadOutcome(outcome, attempt.task.str()).effect == UpstreamEffect::kDone;
+    if (found && SettleByState(attempt, *outcome.reply)) return;
+    lost = found ? 0 : lost + 1;
+    std::this_thread::sleep_for(Milliseconds(config::kAdoptPollMs));
+  }
+  if (m_stopping) return;
+  if (service.idempotent) return EndAttempt(attempt, AttemptEnd::kFailed, 0);
+  Finish(item.accepted.handle, ResultCode::kUnknownEffect, "");
+}
+
+bool LongRunner::SettleByState(const AttemptStarted& attempt, const HttpReply& reply) {
+  const std::string state = reply.Header("Task-State");
+  if (state == "running") return false;
+  if (state == "checkpointed") {
+    EndAttempt(attempt, AttemptEnd::kCheckpointed, std::atoll(reply.Header("Progress").c_str()));
+  } else if (state == "cancelled") {
+    Finish(attempt.handle, ResultCode::kUnknownEffect, "cancelled while it ran");
+  } else {
+    Finish(attempt.handle, ResultCode::kOk, reply.body);
+  }
+  return true;
+}
+
+void LongRunner::EndAttempt(const AttemptStarted& attempt, AttemptEnd end,
+                            std::int64_t progress_ms) {
+  const AttemptEnded ended{
+      .handle = attempt.handle, .task = attempt.task, .end = end, .progress_ms = progress_ms};
+  AppendUntil(ended, [&] {
+    const WorkItem* item = m_fold.Find(attempt.handle);
+    return !IsOwn(attempt.handle) || item->attempt.task != attempt.task;
+  });
+}
+
+void LongRunner::Finish(const WorkHandle& handle, ResultCode code, const std::string& body) {
+  AppendUntil(WorkFinished{.handle = handle, .code = code, .body = body}, [&] {
+    const WorkItem* item = m_fold.Find(handle);
+    return item == nullptr || item->finished;
+  });
+}
+
+}  // namespace endivewood
