--- a/src/config.h
+++ b/src/config.h
@@ -52,6 +52,9 @@
 /// Milliseconds between two attempts of one entry: an append is resolved within its timeout.
 inline constexpr std::int64_t kSnapshotRetryMs = 2000;
 
+/// Milliseconds between two checks whether a snapshot is due.
+inline constexpr std::int64_t kSnapshotCheckMs = 500;
+
 /// Bytes of a peer frame: the largest record of the log service and its envelope.
 inline constexpr std::size_t kMaxFrameBytes = (4 << 20) + 4096;
 
--- a/src/entry.cc
+++ b/src/entry.cc
@@ -23,17 +23,25 @@
 Entry::Entry(const ProcessSettings& settings)
     : m_settings(settings),
       m_incarnation(RandomHex128()),
-      m_follower(LogClient(settings.platform, m_incarnation), nullptr),
+      m_follower(LogClient(settings.platform, m_incarnation, settings.data_centre), nullptr,
+                 {.peer_state_wait = Milliseconds(config::kPeerStateWaitMs)}),
+      m_peers(settings, m_incarnation, &m_follower, &m_peer_clock),
+      m_snapshots(LogClient(settings.platform, m_incarnation, settings.data_centre), m_incarnation,
+                  &m_follower, &m_peers, &m_peer_clock),
       m_caller_server({.endpoint = settings.callers,
                        .max_threads = config::kMaxHttpThreads,
                        .max_body_bytes = config::kMaxBodyBytes},
                       [this](const HttpRequest& request) { return HandleCaller(request); }),
       m_control_server({.endpoint = settings.control, .max_threads = kControlThreads},
-                       [this](const HttpRequest& request) { return HandleControl(request); }) {}
+                       [this](const HttpRequest& request) { return HandleControl(request); }) {
+  m_peers.Start();
+}
 
 void Entry::Stop() {
   m_caller_server.Stop();
   m_control_server.Stop();
+  m_snapshots.Stop();
+  m_peers.Stop();
   m_follower.Stop();
   for (std::thread& thread : m_long_threads) thread.join();
 }
@@ -108,11 +116,11 @@
   const auto view = m_follower.View();
   if (request.path == "/health") return Answer(ResultCode::kOk);
   if (request.path != "/dump") return Answer(ResultCode::kMalformedRequest);
-  const std::string body = "{\"process\":\"" + m_settings.name + "\",\"data_centre\":\"" +
-                           m_settings.data_centre.str() +
-                           "\",\"next_offset\":" + std::to_string(view->next_offset) +
-                           ",\"config_version\":" + std::to_string(view->config_version) +
-                           ",\"preset\":\"" + view->preset.str() + "\"}";
+  const std::string body =
+      "{\"process\":\"" + m_settings.name + "\",\"data_centre\":\"" + m_settings.data_centre.str() +
+      "\",\"next_offset\":" + std::to_string(view->next_offset) +
+      ",\"config_version\":" + std::to_string(view->config_version) + ",\"preset\":\"" +
+      view->preset.str() + "\"," + m_peers.DumpFields() + "}";
   return {.status = 200, .headers = {{"Content-Type", "application/json"}}, .body = body};
 }
 
--- a/src/entry.h
+++ b/src/entry.h
@@ -2,8 +2,8 @@
 /// The request path of an entry instance.
 #pragma once
 
-#include "endivewood_p.h"
-#include "settings.h"
+#include "peers.h"
+#include "snapshot_author.h"
 
 namespace endivewood {
 
@@ -30,7 +30,10 @@
 
   ProcessSettings m_settings;
   Incarnation m_incarnation;
+  Clock m_peer_clock;
   FleetFollower m_follower;
+  PeerNode m_peers;
+  SnapshotAuthor m_snapshots;
   std::atomic<std::uint64_t> m_next_upstream{0};
   std::mutex m_mutex;
   std::map<std::string, LongRequest> m_long_requests;
--- a/src/slot_allocator.h
+++ b/src/slot_allocator.h
@@ -72,6 +72,7 @@
 
  private:
   friend class SlotAllocator;
+  friend class SlotRouter;
   /// @returns false when the token is already cancelled.
   bool Attach(std::function<void()> action);
   void Detach();
--- a/standins/platform.cc
+++ b/standins/platform.cc
@@ -17,10 +17,16 @@
 
 /// Switches that a test sets over HTTP while the stand-in runs.
 struct Faults {
-  bool outage = false;   ///< Every call is refused with 503.
-  int slow_ms = 0;       ///< Delay before each answer.
-  int lose_appends = 0;  ///< Appends that take effect but are never answered.
-  int list_lag_ms = 0;   ///< Age of the instance list.
+  bool outage = false;              ///< Every call is refused with 503.
+  int slow_ms = 0;                  ///< Delay before each answer.
+  int lose_appends = 0;             ///< Appends that take effect but are never answered.
+  int list_lag_ms = 0;              ///< Age of the instance list.
+  std::string refused_data_centre;  ///< Calls that name it in Data-Centre are refused with 503.
+
+  bool Refuses(const HttpRequest& request) const {
+    if (outage) return true;
+    return !refused_data_centre.empty() && request.Header("Data-Centre") == refused_data_centre;
+  }
 };
 
 /// One append-only stream whose records expire by count.
@@ -66,7 +72,7 @@
     {
       std::unique_lock lock(m_mutex);
       const int slow_ms = m_faults.slow_ms;
-      if (m_faults.outage) return {.status = 503, .headers = {}, .body = ""};
+      if (m_faults.Refuses(request)) return {.status = 503, .headers = {}, .body = ""};
       lock.unlock();
       if (slow_ms > 0) std::this_thread::sleep_for(Milliseconds(slow_ms));
     }
@@ -83,6 +89,9 @@
     m_faults.slow_ms = std::stoi(request.Parameter("slow_ms", std::to_string(m_faults.slow_ms)));
     m_faults.lose_appends =
         std::stoi(request.Parameter("lose_appends", std::to_string(m_faults.lose_appends)));
+    m_faults.refused_data_centre =
+        request.Parameter("refuse_data_centre", m_faults.refused_data_centre);
+    m_appended.notify_all();
     const std::string expire = request.Parameter("expire_below");
     if (!expire.empty())
       m_streams[request.Parameter("stream", "fleet")].Expire(std::stoull(expire));
@@ -106,8 +115,9 @@
     const Milliseconds wait(std::stoll(request.Parameter("wait_ms", "0")));
     std::unique_lock lock(m_mutex);
     Stream& records = m_streams[stream];
-    m_appended.wait_for(lock, wait, [&] { return records.Next() > from || m_faults.outage; });
-    if (m_faults.outage) return {.status = 503, .headers = {}, .body = ""};
+    m_appended.wait_for(lock, wait,
+                        [&] { return records.Next() > from || m_faults.Refuses(request); });
+    if (m_faults.Refuses(request)) return {.status = 503, .headers = {}, .body = ""};
     const std::string first = std::to_string(records.First());
     if (from < records.First()) {
       return {.status = 410, .headers = {{"First-Offset", first}}, .body = ""};
--- a/tests/process_fixture.h
+++ b/tests/process_fixture.h
@@ -12,6 +12,7 @@
 #include <fstream>
 
 #include "endivewood_p.h"
+#include "eventually.h"
 
 extern char** environ;
 
@@ -56,17 +57,6 @@
   return Process(program, std::move(arguments)).Wait();
 }
 
-/// Polls a condition for at most `limit`.
-inline bool Eventually(const std::function<bool()>& condition,
-                       Milliseconds limit = Milliseconds(10000)) {
-  const auto end = std::chrono::steady_clock::now() + limit;
-  while (std::chrono::steady_clock::now() < end) {
-    if (condition()) return true;
-    std::this_thread::sleep_for(Milliseconds(20));
-  }
-  return condition();
-}
-
 inline HttpOutcome Get(const Endpoint& peer, const std::string& path) {
   return HttpCall(peer, {.method = "GET", .path = path}, Milliseconds(5000));
 }
