--- a/src/config.h
+++ b/src/config.h
@@ -55,6 +55,52 @@
 /// Milliseconds between two checks whether a snapshot is due.
 inline constexpr std::int64_t kSnapshotCheckMs = 500;
 
+// Request path.
+
+/// Milliseconds after the time in an idempotency key during which the key may be used. The design
+/// page states 600 s; it bounds the fold's state and lets records expire.
+inline constexpr std::int64_t kClaimRetentionMs = 600000;
+
+/// Milliseconds by which the clocks of callers, entries and the log service may differ.
+inline constexpr std::int64_t kClaimClockSkewMs = 60000;
+
+/// Milliseconds for which a fence is remembered. An author that is paused for longer reads its
+/// fence itself, or finds that the stream has expired, and takes a new incarnation.
+inline constexpr std::int64_t kFenceRetentionMs = 86400000;
+
+/// Bytes of recorded results that one process retains; an entry has 128 MB in all. The code of a
+/// result is always retained.
+inline constexpr std::size_t kMaxRetainedResultBytes = 32 << 20;
+
+/// Bytes of one result that is recorded with its body; larger results are recorded by code only.
+inline constexpr std::size_t kMaxRecordedResultBytes = 64 << 10;
+
+/// Keys that an entry holds before it starts no further claims: 600 s at 160 keys a second.
+inline constexpr std::size_t kMaxClaimKeys = 100000;
+
+/// Events that one append of claims carries at most.
+inline constexpr std::size_t kMaxClaimBatch = 256;
+
+/// Bytes of events that one append of claims carries at most, unless one event alone is larger.
+inline constexpr std::size_t kMaxClaimBatchBytes = 512 << 10;
+
+/// Appends of claims that one entry makes in a second: nine entries share the log service's
+/// several hundred with the other streams.
+inline constexpr std::int64_t kClaimAppendsPerSecond = 30;
+
+/// Appends of claims that an entry may make at once after an idle time.
+inline constexpr std::int64_t kClaimAppendBurst = 10;
+
+/// Milliseconds that a request waits for its claim to appear in the stream before it gives up.
+inline constexpr std::int64_t kClaimTimeoutMs = 3000;
+
+/// Milliseconds between the signs of life of an entry that holds or waits for a claim.
+inline constexpr std::int64_t kSignOfLifeMs = 1000;
+
+/// Milliseconds of log time without a sign of life after which an incarnation is fenced. Five
+/// missed signs; a wrong fence costs an "unknown effect" answer, never a second run.
+inline constexpr std::int64_t kFenceAfterMs = 5000;
+
 /// Bytes of a peer frame: the largest record of the log service and its envelope.
 inline constexpr std::size_t kMaxFrameBytes = (4 << 20) + 4096;
 
@@ -108,4 +154,32 @@
 /// Milliseconds between two checks for expired deadlines.
 inline constexpr std::int64_t kDispatchTickMs = 5;
 
+/// Distinct instances on which a job may fail. Two failures can be two faulty instances of one
+/// rack; a third makes the job itself the likely cause.
+inline constexpr std::size_t kNotRunnableFailures = 3;
+
+/// Milliseconds that short work runs at most; longer work is demoted to the long class. Callers
+/// wait for short work, and a second is where a person notices the wait.
+inline constexpr std::int64_t kShortRunLimitMs = 1000;
+
+/// Milliseconds assumed for a checkpoint until the first one has been observed.
+inline constexpr std::int64_t kCheckpointGuessMs = 100;
+
+/// Milliseconds after which an unanswered checkpoint request no longer counts as a slot to come.
+inline constexpr std::int64_t kCheckpointTimeoutMs = 2000;
+
+/// Milliseconds without new grants after an upstream refused as busy: its slots are taken by
+/// requests that this queue doesn't know, and a short request lasts about this long.
+inline constexpr std::int64_t kBusyPauseMs = 50;
+
+/// Milliseconds without new grants after an upstream refused as draining or was not reached. The
+/// fleet view shows a planned change within 2 s, and failures lead to ejection.
+inline constexpr std::int64_t kUnavailablePauseMs = 500;
+
+/// Milliseconds over which the arrival rate of short work is averaged. Peaks last for seconds.
+inline constexpr double kArrivalWindowMs = 1000.0;
+
+/// Observations over which the run time and the class of a service are averaged.
+inline constexpr double kRunTimeWindow = 20.0;
+
 }  // namespace endivewood::config
--- a/src/entry.h
+++ b/src/entry.h
@@ -2,6 +2,7 @@
 /// The request path of an entry instance.
 #pragma once
 
+#include "metrics.h"
 #include "peers.h"
 #include "snapshot_author.h"
 
@@ -30,6 +31,7 @@
 
   ProcessSettings m_settings;
   Incarnation m_incarnation;
+  Metrics m_metrics;
   Clock m_peer_clock;
   FleetFollower m_follower;
   PeerNode m_peers;
--- a/src/peers.cc
+++ b/src/peers.cc
@@ -331,19 +331,21 @@
   return names;
 }
 
-std::string PeerNode::DumpFields() const {
-  std::string fields = "\"peers\":{";
+std::vector<DumpValue> PeerNode::DumpValues() const {
+  std::vector<DumpValue> values;
+  const auto add = [&](const std::string& name, std::uint64_t value) {
+    values.push_back({.name = name, .value = static_cast<std::int64_t>(value)});
+  };
   for (const PeerMember& member : Members()) {
-    if (fields.back() != '{') fields += ",";
-    fields += "\"" + member.name + "\":\"" + PeerStateName(member.state) + "\"";
+    add("peer " + member.name, static_cast<std::uint64_t>(member.state));
   }
-  const auto count = [](const char* name, std::uint64_t value) {
-    return std::string(",\"") + name + "\":" + std::to_string(value);
-  };
-  return fields + "}" + count("peer_bytes_sent", m_stats.bytes_sent) +
-         count("peer_bytes_received", m_stats.bytes_received) +
-         count("peer_malformed", m_stats.malformed) + count("relayed_batches", m_stats.relayed) +
-         count("states_taken", m_stats.states_taken);
+  add("peer bytes sent", m_stats.bytes_sent);
+  add("peer bytes received", m_stats.bytes_received);
+  add("peer connections malformed", m_stats.malformed);
+  add("peer connections overflowed", m_stats.overflowed);
+  add("record batches from peers", m_stats.relayed);
+  add("states from peers", m_stats.states_taken);
+  return values;
 }
 
 std::vector<PeerMember> PeerNode::Members() const {
--- a/src/peers.h
+++ b/src/peers.h
@@ -2,6 +2,7 @@
 /// Connections between entries: membership, relay of fleet records and states, slot messages.
 #pragma once
 
+#include "dump.h"
 #include "membership.h"
 #include "peer_connection.h"
 #include "relay.h"
@@ -48,8 +49,8 @@
   std::vector<std::string> LiveNames(const DataCentreName& data_centre = {}) const;
 
   std::vector<PeerMember> Members() const;
-  /// @returns the members and counters as fields of the process's dump.
-  std::string DumpFields() const;
+  /// @returns the state of each peer, as a PeerState number, and the counters.
+  std::vector<DumpValue> DumpValues() const;
   const PeerStats& stats() const { return m_stats; }
   const std::string& name() const { return m_settings.name; }
   const DataCentreName& data_centre() const { return m_settings.data_centre; }
