--- a/src/config.h
+++ b/src/config.h
@@ -52,6 +52,9 @@
 /// Milliseconds between two attempts of one entry: an append is resolved within its timeout.
 inline constexpr std::int64_t kSnapshotRetryMs = 2000;
 
+/// Milliseconds between two checks whether a snapshot is due.
+inline constexpr std::int64_t kSnapshotCheckMs = 500;
+
 // Request path.
 
 /// Milliseconds after the time in an idempotency key during which the key may be used. The design
--- a/src/entry.cc
+++ b/src/entry.cc
@@ -63,14 +63,18 @@
 Entry::Entry(const ProcessSettings& settings)
     : m_settings(settings),
       m_incarnation(RandomHex128()),
-      m_follower(LogClient(settings.platform, m_incarnation), nullptr),
-      m_claims(LogClient(settings.platform, m_incarnation), &m_clock),
-      m_slots(m_clock, {.data_centre = settings.data_centre,
-                        .on_checkpoint =
-                            [this](const SlotGrant& grant) { m_long.RequestCheckpoint(grant); }}),
+      m_follower(LogClient(settings.platform, m_incarnation, settings.data_centre), nullptr,
+                 {.peer_state_wait = Milliseconds(config::kPeerStateWaitMs)}),
+      m_peers(settings, m_incarnation, &m_follower, &m_clock),
+      m_snapshots(LogClient(settings.platform, m_incarnation, settings.data_centre), m_incarnation,
+                  &m_follower, &m_peers, &m_clock),
+      m_claims(LogClient(settings.platform, m_incarnation, settings.data_centre), &m_clock),
+      m_slots(
+          m_clock, &m_peers,
+          {.on_checkpoint = [this](const SlotGrant& grant) { m_long.RequestCheckpoint(grant); }}),
       m_upstreams(&m_clock),
       m_forwarder(&m_slots, &m_upstreams, &m_clock),
-      m_long({.client = LogClient(settings.platform, m_incarnation),
+      m_long({.client = LogClient(settings.platform, m_incarnation, settings.data_centre),
               .slots = &m_slots,
               .upstreams = &m_upstreams,
               .clock = &m_clock,
@@ -82,7 +86,9 @@
                        .max_body_bytes = config::kMaxBodyBytes},
                       [this](const HttpRequest& request) { return HandleCaller(request); }),
       m_control_server({.endpoint = settings.control, .max_threads = kControlThreads},
-                       [this](const HttpRequest& request) { return HandleControl(request); }) {}
+                       [this](const HttpRequest& request) { return HandleControl(request); }) {
+  m_peers.Start(m_slots.Handlers());
+}
 
 int Entry::Stop(Milliseconds limit, const std::atomic<bool>& cut_now) {
   m_limiter.Close();
@@ -97,7 +103,10 @@
   m_claims.Stop();
   m_slots.Stop();
   m_stopping = true;
+  if (m_view_thread.joinable()) m_view_thread.join();
   m_control_server.Stop();
+  m_snapshots.Stop();
+  m_peers.Stop();
   m_follower.Stop();
   return 0;
 }
@@ -195,19 +204,30 @@
 
 HttpReply Entry::HandleControl(const HttpRequest& request) {
   if (request.path == "/health" && m_limiter.closed()) return Answer(ResultCode::kNotRunStopping);
-  const ClaimStats claims = m_claims.Stats();
-  const auto number = [](auto value) { return static_cast<std::int64_t>(value); };
   return AnswerControl(request, {.settings = m_settings,
                                  .incarnation = m_incarnation,
                                  .follower = m_follower,
                                  .metrics = m_metrics,
-                                 .subsystems = {{"requests", m_limiter.in_progress()},
-                                                {"claim_appends", number(claims.appends)},
-                                                {"claims", number(claims.claims)},
-                                                {"long_open", number(m_long.OpenCount())},
-                                                {"claim_keys", number(claims.keys)},
-                                                {"fences", number(claims.fences)},
-                                                {"withdrawals", number(claims.withdrawals)}}});
+                                 .subsystems = DumpValues()});
+}
+
+std::vector<DumpValue> Entry::DumpValues() const {
+  const ClaimStats claims = m_claims.Stats();
+  const SlotAllocatorStats slots = m_slots.AllocatorStats();
+  const auto number = [](auto value) { return static_cast<std::int64_t>(value); };
+  std::vector<DumpValue> values = {{"requests", m_limiter.in_progress()},
+                                   {"claim_appends", number(claims.appends)},
+                                   {"claims", number(claims.claims)},
+                                   {"long_open", number(m_long.OpenCount())},
+                                   {"claim_keys", number(claims.keys)},
+                                   {"fences", number(claims.fences)},
+                                   {"withdrawals", number(claims.withdrawals)},
+                                   {"slots_waiting_short", number(slots.waiting_short)},
+                                   {"slots_waiting_long", number(slots.waiting_long)},
+                                   {"slots_in_use", number(slots.in_use)}};
+  const std::vector<DumpValue> peers = m_peers.DumpValues();
+  values.insert(values.end(), peers.begin(), peers.end());
+  return values;
 }
 
 }  // namespace endivewood
--- a/src/long_runner.h
+++ b/src/long_runner.h
@@ -7,7 +7,7 @@
 
 #include "long_work.h"
 #include "request_check.h"
-#include "slot_allocator.h"
+#include "slot_router.h"
 #include "upstream_client.h"
 
 namespace endivewood {
@@ -15,7 +15,7 @@
 /// What the long work of a process needs.
 struct LongRunnerOptions {
   LogClient client;
-  SlotAllocator* slots;
+  SlotRouter* slots;
   UpstreamClient* upstreams;
   const Clock* clock;
   std::function<std::shared_ptr<const FleetView>()> view;
