Number not-runnable among the codes with an unknown effect

Conclusion: the range of a code again tells a caller whether it may rely on the request not having run.

--- a/include/endivewood/endivewood.h
+++ b/include/endivewood/endivewood.h
@@ -49,13 +49,13 @@
   kNotRunStopping = 203,
   kNotStartedPlatform = 204,
   kNotRunCancelled = 205,
-  kNotRunnable = 206,
   /// This attempt started nothing; the idempotency key remains usable.
   kNotStarted = 207,
   // Requests whose effect is not known.
   kUnknownEffect = 300,
   kUpstreamFailed = 301,
   kUpstreamTimeout = 302,
+  kNotRunnable = 303,  ///< It failed on several instances, so it may have had an effect.
   // Settings and fleet configuration.
   kFileUnreadable = 400,
   kInvalidYaml = 401,
--- a/tools/endivewood_load/load_request.cc
+++ b/tools/endivewood_load/load_request.cc
@@ -20,7 +20,9 @@
 
 /// @returns whether the same request should be sent again: it was not started, and no entry has
 /// said that it never will be.
-bool IsRetryable(ResultCode code) { return code == ResultCode::kNotStartedPlatform; }
+bool IsRetryable(ResultCode code) {
+  return code == ResultCode::kNotStartedPlatform || code == ResultCode::kNotStarted;
+}
 
 Ending EndingOf(const HttpReply& reply, const std::string& text) {
   const auto code = CodeOf(reply);
