Take instance and wave transitions from state charts

Cause: legal transitions were spread over the fold's preconditions. Change: charts/*.yaml are checked (409 invalid-chart with file and line) and their text is embedded at configure time, so an embedder needs no files. The fold looks transitions up in tables built from the charts. Conclusion: a changed transition is a change of one chart.

--- /dev/null
+++ b/src/chart.h
@@ -0,0 +1,86 @@
+/// @file
+/// State charts: the files of charts/ loaded, checked and walked. The library carries their text,
+/// so that an embedder needs no files.
+#pragma once
+
+#include <endivewood/endivewood.h>
+
+#include <array>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace endivewood {
+
+using StateName = Name<struct StateTag>;
+using ChartEvent = Name<struct ChartEventTag>;
+
+/// One arrow of a chart.
+struct ChartTransition {
+  StateName from;
+  ChartEvent event;
+  StateName to;
+
+  bool operator==(const ChartTransition&) const = default;
+};
+
+/// A checked chart: every state is known and reachable, and no state has an event twice.
+struct Chart {
+  std::string name;
+  StateName initial;
+  std::vector<StateName> states;
+  std::vector<ChartTransition> transitions;
+
+  /// @returns the state that an event leads to, or no value when the chart has no such transition.
+  std::optional<StateName> Next(const StateName& from, const ChartEvent& event) const;
+
+  bool operator==(const Chart&) const = default;
+};
+
+/// Parses and checks a chart.
+/// @param faults receives kInvalidChart for unknown or unreachable states and duplicates, and the
+/// codes of YAML faults.
+std::optional<Chart> ParseChart(const std::string& text, const std::string& file,
+                                std::vector<ConfigFault>* faults);
+
+/// The text of a file of charts/ at build time.
+struct ChartText {
+  const char* name;  ///< File name without its extension.
+  const char* text;
+};
+
+/// @returns every chart that the library was built with.
+const std::vector<ChartText>& BuiltInCharts();
+
+/// @returns a chart of the library, parsed once.
+/// @attention a chart that doesn't parse ends the process; tests load every chart.
+const Chart& BuiltInChart(const std::string& name);
+
+/// Events of charts/instance.yaml.
+enum class InstanceEvent : std::uint8_t { kDrain = 0, kReboot, kAssign, kLose, kRemove };
+
+/// Events of charts/wave.yaml.
+enum class WaveEvent : std::uint8_t { kStart = 0, kPause, kResume, kFinish };
+
+/// @returns "drain", "reboot", "assign", "lose" or "remove".
+const char* InstanceEventName(InstanceEvent event);
+
+/// @returns "start", "pause", "resume" or "finish".
+const char* WaveEventName(WaveEvent event);
+
+/// @returns "running", "paused" or "finished".
+const char* WaveStateName(WaveState state);
+
+/// @returns whether charts/instance.yaml has the transition. `remove` leaves no instance behind.
+bool IsAllowed(InstanceState state, InstanceEvent event);
+
+/// @returns whether charts/wave.yaml has the transition.
+bool IsAllowed(WaveState state, WaveEvent event);
+
+/// @returns the state that follows an allowed event other than `remove`.
+std::optional<InstanceState> NextState(InstanceState state, InstanceEvent event);
+
+/// @returns the state that follows an allowed event.
+std::optional<WaveState> NextState(WaveState state, WaveEvent event);
+
+}  // namespace endivewood
--- a/src/dump.cc
+++ b/src/dump.cc
@@ -2,8 +2,7 @@
 /// The JSON state dump through cxxtools' serializer.
 #include "dump.h"
 
-#include <array>
-
+#include "chart.h"
 #include "events.h"
 #include "json.h"
 
@@ -63,11 +62,6 @@
 
 }  // namespace
 
-const char* WaveStateName(WaveState state) {
-  static constexpr std::array<const char*, 3> kNames = {"running", "paused", "finished"};
-  return kNames.at(static_cast<std::size_t>(state));
-}
-
 std::string EncodeDump(const ProcessDump& dump) {
   const FleetView& view = *dump.view;
   JsonValue::Array instances;
--- a/src/dump.h
+++ b/src/dump.h
@@ -32,9 +32,6 @@
   std::vector<DumpValue> subsystems;
 };
 
-/// @returns "running", "paused" or "finished".
-const char* WaveStateName(WaveState state);
-
 /// @returns the dump as one line of JSON.
 std::string EncodeDump(const ProcessDump& dump);
 
--- a/src/fleet.cc
+++ b/src/fleet.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "chart.h"
 #include "codec.h"
 #include "config.h"
 
@@ -102,7 +103,7 @@
 
   Verdict operator()(const DrainStarted& change) {
     InstanceView* instance = nullptr;
-    if (auto fault = Find(change.instance, InstanceState::kReady, &instance)) return *fault;
+    if (auto fault = Find(change.instance, InstanceEvent::kDrain, &instance)) return *fault;
     const int remaining = m_view->ReadyCount(instance->pool) - 1;
     const int required = m_view->RequiredAvailable(instance->pool);
     if (remaining < required) {
@@ -110,51 +111,47 @@
               .detail = instance->pool.str() + " would have " + std::to_string(remaining) +
                         " ready instances, its budget is " + std::to_string(required)};
     }
-    Move(instance, InstanceState::kDraining);
+    Move(instance, InstanceEvent::kDrain);
     return {};
   }
 
   Verdict operator()(const RebootStarted& change) {
     InstanceView* instance = nullptr;
-    if (auto fault = Find(change.instance, InstanceState::kDraining, &instance)) return *fault;
-    Move(instance, InstanceState::kRebooting);
+    if (auto fault = Find(change.instance, InstanceEvent::kReboot, &instance)) return *fault;
+    Move(instance, InstanceEvent::kReboot);
     return {};
   }
 
   Verdict operator()(const InstanceAssigned& change) {
     InstanceView* instance = nullptr;
-    if (auto fault = Find(change.instance, std::nullopt, &instance)) return *fault;
-    const bool returns =
-        instance->state == InstanceState::kRebooting || instance->state == InstanceState::kLost;
-    if (!returns) return InvalidTransition(*instance);
+    if (auto fault = Find(change.instance, InstanceEvent::kAssign, &instance)) return *fault;
     if (m_view->config.FindPool(change.pool) == nullptr) {
       return {.code = ResultCode::kUnknownReference, .detail = "pool " + change.pool.str()};
     }
     instance->pool = change.pool;
     instance->maintained_in = m_view->wave.sequence;
     ++instance->assignment;
-    Move(instance, InstanceState::kReady);
+    Move(instance, InstanceEvent::kAssign);
     return {};
   }
 
   Verdict operator()(const InstanceLost& change) {
     InstanceView* instance = nullptr;
-    if (auto fault = Find(change.instance, std::nullopt, &instance)) return *fault;
-    if (instance->state == InstanceState::kLost) return InvalidTransition(*instance);
-    Move(instance, InstanceState::kLost);
+    if (auto fault = Find(change.instance, InstanceEvent::kLose, &instance)) return *fault;
+    Move(instance, InstanceEvent::kLose);
     return {};
   }
 
   Verdict operator()(const InstanceRemoved& change) {
     InstanceView* instance = nullptr;
-    if (auto fault = Find(change.instance, InstanceState::kLost, &instance)) return *fault;
+    if (auto fault = Find(change.instance, InstanceEvent::kRemove, &instance)) return *fault;
     m_view->instances.erase(change.instance);
     return {};
   }
 
   Verdict operator()(const WaveStarted& change) {
     if (m_expected != m_view->wave_version) return Conflict("wave");
-    if (m_view->wave.state != WaveState::kFinished) {
+    if (!IsAllowed(m_view->wave.state, WaveEvent::kStart)) {
       return {.code = ResultCode::kWaveActive, .detail = m_view->wave.name.str()};
     }
     m_view->wave = {.name = change.wave,
@@ -167,15 +164,15 @@
   }
 
   Verdict operator()(const WavePaused& change) {
-    return MoveWave(change.wave, WaveState::kRunning, WaveState::kPaused, change.cause);
+    return MoveWave(change.wave, WaveEvent::kPause, change.cause);
   }
 
   Verdict operator()(const WaveResumed& change) {
-    return MoveWave(change.wave, WaveState::kPaused, WaveState::kRunning, "");
+    return MoveWave(change.wave, WaveEvent::kResume, "");
   }
 
   Verdict operator()(const WaveFinished& change) {
-    return MoveWave(change.wave, WaveState::kRunning, WaveState::kFinished, "");
+    return MoveWave(change.wave, WaveEvent::kFinish, "");
   }
 
   Verdict operator()(const SnapshotTaken&) { return {}; }
@@ -204,30 +201,29 @@
                                         .assignment = 1};
   }
 
-  /// Looks up an instance and checks the expected version and, if given, the state.
-  std::optional<Verdict> Find(const InstanceName& name, std::optional<InstanceState> state,
-                              InstanceView** found) {
+  /// Looks up an instance and checks the expected version and that the chart allows the event.
+  std::optional<Verdict> Find(const InstanceName& name, InstanceEvent event, InstanceView** found) {
     const auto item = m_view->instances.find(name);
     if (item == m_view->instances.end()) {
       return Verdict{.code = ResultCode::kUnknownInstance, .detail = name.str()};
     }
     if (item->second.version != m_expected) return Conflict("instance " + name.str());
-    if (state && item->second.state != *state) return InvalidTransition(item->second);
+    if (!IsAllowed(item->second.state, event)) return InvalidTransition(item->second);
     *found = &item->second;
     return std::nullopt;
   }
 
-  static void Move(InstanceView* instance, InstanceState state) {
-    instance->state = state;
+  static void Move(InstanceView* instance, InstanceEvent event) {
+    instance->state = NextState(instance->state, event).value();
     ++instance->version;
   }
 
-  Verdict MoveWave(const WaveName& name, WaveState from, WaveState to, const std::string& cause) {
+  Verdict MoveWave(const WaveName& name, WaveEvent event, const std::string& cause) {
     if (m_expected != m_view->wave_version) return Conflict("wave");
-    if (m_view->wave.name != name || m_view->wave.state != from) {
+    if (m_view->wave.name != name || !IsAllowed(m_view->wave.state, event)) {
       return {.code = ResultCode::kInvalidTransition, .detail = "wave " + name.str()};
     }
-    m_view->wave.state = to;
+    m_view->wave.state = NextState(m_view->wave.state, event).value();
     m_view->wave.pause_cause = cause;
     ++m_view->wave_version;
     return {};
--- /dev/null
+++ b/tests/chart_test.cc
@@ -0,0 +1,156 @@
+/// @file
+/// State charts: checks, and the transitions that the fold takes from them.
+#include "chart.h"
+
+#include <catch2/catch.hpp>
+
+#include "endivewood_p.h"
+
+namespace endivewood::testing {
+namespace {
+
+std::vector<ConfigFault> FaultsOf(const std::string& text) {
+  std::vector<ConfigFault> faults;
+  CHECK_FALSE(ParseChart(text, "test.yaml", &faults));
+  return faults;
+}
+
+// Guards against a library whose charts differ from the files or don't load.
+TEST_CASE("every chart of charts/ is built in, and every transition can be walked") {
+  CHECK(BuiltInCharts().size() == 4);
+  for (const char* name : {"request", "instance", "wave", "data_centre_link"}) {
+    std::vector<ConfigFault> faults;
+    const std::string file = std::string(SOURCE_DIR) + "/charts/" + name + ".yaml";
+    const auto chart = ParseChart(ReadFile(file).value_or(""), file, &faults);
+    REQUIRE(chart);
+    CHECK(*chart == BuiltInChart(name));
+    CHECK(chart->name == name);
+    for (const ChartTransition& transition : chart->transitions) {
+      CHECK(chart->Next(transition.from, transition.event) == transition.to);
+    }
+    CHECK_FALSE(chart->Next(chart->initial, ChartEvent("no-such-event")));
+  }
+}
+
+// Guards against a chart that can't be carried out: each fault is found at its line.
+TEST_CASE("faulty charts are rejected with their line") {
+  struct Row {
+    const char* text;
+    ResultCode code;
+    int line;
+    const char* found;
+  };
+  const std::vector<Row> rows = {
+      {"chart: c\ninitial: a\nstates:\n  - a\n  - b\ntransitions: []\n", ResultCode::kInvalidChart,
+       5, "b"},
+      {"chart: c\ninitial: a\nstates: [a]\ntransitions:\n  - {from: a, event: e, to: x}\n",
+       ResultCode::kInvalidChart, 5, "x"},
+      {"chart: c\ninitial: z\nstates: [z, z]\ntransitions: []\n", ResultCode::kInvalidChart, 3,
+       "z"},
+      {"chart: c\ninitial: q\nstates: []\ntransitions: []\n", ResultCode::kInvalidChart, 2, "q"},
+      {"chart: c\ninitial: a\nstates: [a, b]\ntransitions:\n  - {from: a, event: e, to: b}\n"
+       "  - {from: a, event: e, to: a}\n",
+       ResultCode::kInvalidChart, 6, "e from a"},
+      {"chart: c\ninitial: a\nstates: [a]\nextra: 1\ntransitions: []\n", ResultCode::kUnknownKey, 4,
+       "an unknown key"}};
+  for (const Row& row : rows) {
+    const auto faults = FaultsOf(row.text);
+    CAPTURE(row.text);
+    REQUIRE(faults.size() == 1);
+    CHECK(faults[0].code == row.code);
+    CHECK(faults[0].line == row.line);
+    CHECK(faults[0].found == row.found);
+    CHECK(faults[0].file == "test.yaml");
+  }
+}
+
+/// Folds records about one instance and one wave.
+class OneInstance {
+ public:
+  OneInstance() {
+    Apply(ConfigPublished{"pools: [{name: p}]\nservices: []\npresets: []\ninstances:\n"
+                          "  - {name: i, data_centre: d, rack: r, pool: p, address: a, port: 1}"},
+          0);
+  }
+
+  ResultCode Apply(const FleetChange& change, std::uint64_t expected) {
+    const FleetRecord record{.id = RecordId(RandomHex128()),
+                             .author = Incarnation("test"),
+                             .expected_version = expected,
+                             .change = change};
+    return m_fold.Apply(m_fold.View()->next_offset, EncodeFleetRecord(record)).code;
+  }
+
+  const InstanceView& Instance() {
+    m_view = m_fold.View();
+    return m_view->instances.at(InstanceName("i"));
+  }
+
+  ResultCode Apply(InstanceEvent event) {
+    const InstanceName name("i");
+    const std::vector<FleetChange> changes = {DrainStarted{name}, RebootStarted{name},
+                                              InstanceAssigned{name, PoolName("p")},
+                                              InstanceLost{name}, InstanceRemoved{name}};
+    return Apply(changes.at(static_cast<std::size_t>(event)), Instance().version);
+  }
+
+  ResultCode Apply(WaveEvent event) {
+    const WaveName name("w");
+    const std::vector<FleetChange> changes = {WaveStarted{name, {}}, WavePaused{name, ""},
+                                              WaveResumed{name}, WaveFinished{name}};
+    return Apply(changes.at(static_cast<std::size_t>(event)), m_fold.View()->wave_version);
+  }
+
+  WaveState Wave() const { return m_fold.View()->wave.state; }
+
+ private:
+  FleetFold m_fold;
+  std::shared_ptr<const FleetView> m_view;
+};
+
+// Guards against a fold that accepts a transition which the chart doesn't have, or refuses one that
+// it has.
+TEST_CASE("the fold takes every instance transition from the chart") {
+  const Chart& chart = BuiltInChart("instance");
+  using Path = std::vector<InstanceEvent>;
+  const std::vector<Path> paths = {{},
+                                   {InstanceEvent::kDrain},
+                                   {InstanceEvent::kDrain, InstanceEvent::kReboot},
+                                   {InstanceEvent::kLose}};
+  for (const Path& path : paths) {
+    for (int number = 0; number <= static_cast<int>(InstanceEvent::kRemove); ++number) {
+      OneInstance fleet;
+      for (const InstanceEvent step : path) REQUIRE(fleet.Apply(step) == ResultCode::kOk);
+      const auto event = static_cast<InstanceEvent>(number);
+      const StateName before(InstanceStateName(fleet.Instance().state));
+      const auto next = chart.Next(before, ChartEvent(InstanceEventName(event)));
+      CAPTURE(before.str(), InstanceEventName(event));
+      CHECK((fleet.Apply(event) == ResultCode::kOk) == next.has_value());
+      if (next && event != InstanceEvent::kRemove) {
+        CHECK(InstanceStateName(fleet.Instance().state) == next->str());
+      }
+    }
+  }
+}
+
+// Guards against the same for the maintenance wave.
+TEST_CASE("the fold takes every wave transition from the chart") {
+  const Chart& chart = BuiltInChart("wave");
+  const std::vector<std::vector<WaveEvent>> paths = {
+      {}, {WaveEvent::kStart}, {WaveEvent::kStart, WaveEvent::kPause}};
+  for (const auto& path : paths) {
+    for (int number = 0; number <= static_cast<int>(WaveEvent::kFinish); ++number) {
+      OneInstance fleet;
+      for (const WaveEvent step : path) REQUIRE(fleet.Apply(step) == ResultCode::kOk);
+      const auto event = static_cast<WaveEvent>(number);
+      const StateName before(WaveStateName(fleet.Wave()));
+      const auto next = chart.Next(before, ChartEvent(WaveEventName(event)));
+      CAPTURE(before.str(), WaveEventName(event));
+      CHECK((fleet.Apply(event) == ResultCode::kOk) == next.has_value());
+      CHECK(WaveStateName(fleet.Wave()) == next.value_or(before).str());
+    }
+  }
+}
+
+}  // namespace
+}  // namespace endivewood::testing
