Check all settings of a process and the total budget

Cause: log, limits and planner had no settings; an address could be any text before a colon, and budgets beyond all instances were accepted. Change: log_level, log_file, limits and planner with ranges; every fault gives file, line, key, value, expectation and code; the entry logs its start and stop. Existing keys stay valid. Conclusion: a faulty file is refused before a process or a fleet takes it.

--- a/daemons/endivewood_entry.cc
+++ b/daemons/endivewood_entry.cc
@@ -17,15 +17,25 @@
   TCLAP::SwitchArg check("", "check-config", "check the settings and exit", command);
   command.parse(argc, argv);
   std::vector<ConfigFault> faults;
-  const auto text = ReadFile(config.getValue());
-  const auto settings = ParseProcessSettings(text.value_or(""), config.getValue(), &faults);
+  const auto settings = LoadProcessSettings(config.getValue(), &faults);
   for (const ConfigFault& fault : faults) std::cerr << fault.str() << "\n";
   if (!settings) return kExitInvalidSettings;
   if (check.getValue()) return 0;
+  Reason reason;
+  const bool logs = ConfigureEventLog({.process = settings->name,
+                                       .data_centre = settings->data_centre,
+                                       .level = settings->log_level,
+                                       .file = settings->log_file},
+                                      &reason);
+  if (!logs) LogEvent(Event::kSettingsInvalid, {{"code", reason.code}, {"detail", reason.text}});
+  if (!logs) return kExitInvalidSettings;
   BlockStopSignals();
   Entry entry(*settings);
+  LogEvent(Event::kProcessStarted, {{"callers", settings->callers}});
   WaitForStopSignal();
+  LogEvent(Event::kProcessStopping);
   entry.Stop();
+  LogEvent(Event::kProcessStopped);
   return 0;
 }
 
--- a/src/fleet_config.cc
+++ b/src/fleet_config.cc
@@ -3,6 +3,7 @@
 #include <endivewood/endivewood.h>
 
 #include <algorithm>
+#include <map>
 #include <set>
 
 #include "yaml_reader.h"
@@ -28,6 +29,7 @@
     for (const YAML::Node& node : m_reader->Sequence(root, "instances", false)) {
       ParseInstance(node);
     }
+    CheckTotalBudget(root);
     return m_config;
   }
 
@@ -124,6 +126,23 @@
     }
   }
 
+  /// Budgets that all instances together can't meet would block every planned change. A file that
+  /// lists no instances leaves them to records.
+  void CheckTotalBudget(const YAML::Node& root) {
+    std::map<PoolName, int> required;
+    for (const ServiceConfig& service : m_config.services) {
+      int& of_pool = required[service.pool];
+      of_pool = std::max(of_pool, service.min_available);
+    }
+    std::size_t total = 0;
+    for (const auto& [pool, count] : required) total += static_cast<std::size_t>(count);
+    if (m_config.instances.empty() || total <= m_config.instances.size()) return;
+    m_reader->Fault(
+        root["services"], ResultCode::kBudgetUnsatisfiable, "min_available",
+        std::to_string(total) + " over all pools",
+        "at most " + std::to_string(m_config.instances.size()) + ", the number of instances");
+  }
+
   YamlReader* m_reader;
   FleetConfig m_config;
   std::set<Endpoint> m_endpoints;
--- a/src/settings.h
+++ b/src/settings.h
@@ -8,6 +8,8 @@
 #include <string>
 #include <vector>
 
+#include "events.h"
+
 namespace endivewood {
 
 /// Another entry process.
@@ -19,6 +21,27 @@
   bool operator==(const PeerSettings&) const = default;
 };
 
+/// Limits of a process. The defaults suit an entry with 500 requests in progress.
+struct ProcessLimits {
+  unsigned connections = 600;       ///< Threads of the caller listener.
+  std::size_t queue_length = 1000;  ///< Requests that wait for one service.
+  std::size_t body_bytes = 1 << 20;
+  Milliseconds platform_timeout{2000};
+  Milliseconds stop_timeout{30000};  ///< For the requests in progress when the process stops.
+
+  bool operator==(const ProcessLimits&) const = default;
+};
+
+/// Settings of the planner.
+struct PlannerSettings {
+  Milliseconds interval{1000};         ///< Between two looks at the fleet.
+  Milliseconds drain_timeout{600000};  ///< For the work in progress of a draining instance.
+  Milliseconds reboot_timeout{600000};
+  Milliseconds switch_hold{60000};  ///< Shortest time between two moves of one instance.
+
+  bool operator==(const PlannerSettings&) const = default;
+};
+
 /// Settings that entry and planner share.
 struct ProcessSettings {
   std::string name;
@@ -28,6 +51,10 @@
   Endpoint peer;     ///< Peer listener.
   Endpoint platform;
   std::vector<PeerSettings> peers;
+  EventLevel log_level = EventLevel::kInfo;
+  std::string log_file;  ///< Empty: standard error.
+  ProcessLimits limits;
+  PlannerSettings planner;
 
   bool operator==(const ProcessSettings&) const = default;
 };
@@ -38,4 +65,11 @@
                                                     const std::string& file,
                                                     std::vector<ConfigFault>* faults);
 
+/// Reads, parses and checks a settings file; an unreadable file is a fault as well.
+std::optional<ProcessSettings> LoadProcessSettings(const std::string& file,
+                                                   std::vector<ConfigFault>* faults);
+
+/// @returns the endpoint of "ADDRESS:PORT", or no value when the text is no such pair.
+std::optional<Endpoint> ParseEndpoint(const std::string& text);
+
 }  // namespace endivewood
--- /dev/null
+++ b/tests/settings_test.cc
@@ -0,0 +1,117 @@
+/// @file
+/// Faults of settings and of the fleet configuration, each with its code and line.
+#include "settings.h"
+
+#include <catch2/catch.hpp>
+
+#include "endivewood_p.h"
+
+namespace endivewood::testing {
+namespace {
+
+const char* const kSettings =
+    "name: e\ndata_centre: d\ncallers: 127.0.0.1:1\ncontrol: 127.0.0.1:2\npeer: 127.0.0.1:3\n"
+    "platform: 127.0.0.1:4\n";  // Six lines.
+
+const char* const kFleet =
+    "pools: [{name: a}, {name: s, spare: true}]\n"
+    "services: [{name: x, pool: a, min_available: 1}]\n"
+    "presets: [{name: o, targets: {a: 1}}]\n"
+    "instances:\n"
+    "  - {name: i, data_centre: d, rack: r, pool: a, address: 127.0.0.2, port: 1}\n";
+
+struct Row {
+  std::string text;
+  ResultCode code;
+  int line;
+  const char* key;
+};
+
+void CheckFault(const Row& row, const std::vector<ConfigFault>& faults) {
+  CAPTURE(row.text);
+  REQUIRE(faults.size() == 1);
+  CAPTURE(faults[0].str());
+  CHECK(faults[0].code == row.code);
+  CHECK(faults[0].line == row.line);
+  CHECK(faults[0].key == row.key);
+  CHECK(faults[0].file == "f.yaml");
+  CHECK_FALSE(faults[0].found.empty());
+  CHECK_FALSE(faults[0].expected.empty());
+}
+
+std::string Replaced(std::string text, const std::string& from, const std::string& to) {
+  return text.replace(text.find(from), from.size(), to);
+}
+
+// Guards against a faulty setting that starts a process, or a fault without its place.
+TEST_CASE("each fault of process settings gives its code, line and key") {
+  const std::string good = kSettings;
+  const std::vector<Row> rows = {
+      {good + "speed: 1\n", ResultCode::kUnknownKey, 7, "speed"},
+      {Replaced(good, "name: e", "name: [e]"), ResultCode::kWrongType, 1, "name"},
+      {Replaced(good, "data_centre: d\n", ""), ResultCode::kMissingValue, 1, "data_centre"},
+      {Replaced(good, "127.0.0.1:2", "127.0.0.1"), ResultCode::kWrongType, 4, "control"},
+      {Replaced(good, "127.0.0.1:2", "localhost:2"), ResultCode::kWrongType, 4, "control"},
+      {Replaced(good, "127.0.0.1:2", "127.0.0.1:2x"), ResultCode::kWrongType, 4, "control"},
+      {Replaced(good, "127.0.0.1:2", "127.0.0.1:65536"), ResultCode::kWrongType, 4, "control"},
+      {Replaced(good, "127.0.0.1:3", "127.0.0.1:1"), ResultCode::kDuplicateName, 5, "peer"},
+      {good + "log_level: loud\n", ResultCode::kOutOfRange, 7, "log_level"},
+      {good + "limits:\n  connections: 0\n", ResultCode::kOutOfRange, 8, "connections"},
+      {good + "limits:\n  body_bytes: many\n", ResultCode::kWrongType, 8, "body_bytes"},
+      {good + "limits: 5\n", ResultCode::kWrongType, 7, "limits"},
+      {good + "planner:\n  interval_ms: 5\n", ResultCode::kOutOfRange, 8, "interval_ms"},
+      {good + "planner:\n  pace: 5\n", ResultCode::kUnknownKey, 8, "pace"},
+      {good + "peers:\n  - {name: e, data_centre: d, address: 127.0.0.1:5}\n",
+       ResultCode::kDuplicateName, 8, "name"},
+      {good + "name: f: g\n", ResultCode::kInvalidYaml, 7, "document"}};
+  for (const Row& row : rows) {
+    std::vector<ConfigFault> faults;
+    CHECK_FALSE(ParseProcessSettings(row.text, "f.yaml", &faults));
+    CheckFault(row, faults);
+  }
+}
+
+// Guards against settings that are checked and then not used.
+TEST_CASE("valid settings are read as written") {
+  std::vector<ConfigFault> faults;
+  const auto settings = ParseProcessSettings(
+      std::string(kSettings) +
+          "log_level: warning\nlog_file: e.log\nlimits: {connections: 7, stop_timeout_ms: 50}\n"
+          "planner: {drain_timeout_ms: 900}\n",
+      "f.yaml", &faults);
+  REQUIRE(settings);
+  CHECK(settings->log_level == EventLevel::kWarning);
+  CHECK(settings->log_file == "e.log");
+  CHECK(settings->limits == ProcessLimits{.connections = 7, .stop_timeout = Milliseconds(50)});
+  CHECK(settings->planner == PlannerSettings{.drain_timeout = Milliseconds(900)});
+  CHECK_FALSE(LoadProcessSettings("/nonexistent", &faults));
+  CHECK(faults.back().code == ResultCode::kFileUnreadable);
+}
+
+// Guards against a fleet configuration that the fold would reject only after it was published.
+TEST_CASE("each fault of a fleet configuration gives its code, line and key") {
+  const std::string good = kFleet;
+  const std::vector<Row> rows = {
+      {good + "zones: 1\n", ResultCode::kUnknownKey, 6, "zones"},
+      {Replaced(good, "min_available: 1", "min_available: x"), ResultCode::kWrongType, 2,
+       "min_available"},
+      {Replaced(good, "port: 1", "port: 70000"), ResultCode::kOutOfRange, 5, "port"},
+      {good + "  - {name: j, data_centre: d, rack: r, pool: a, address: 127.0.0.2, port: 1}\n",
+       ResultCode::kDuplicateName, 6, "address"},
+      {Replaced(good, "targets: {a: 1}", "targets: {a: 1, b: 1}"), ResultCode::kUnknownReference, 3,
+       "pool"},
+      {Replaced(good, "targets: {a: 1}", "targets: {a: 0}"), ResultCode::kBudgetUnsatisfiable, 3,
+       "a"},
+      {Replaced(Replaced(good, "min_available: 1", "min_available: 2"), "{a: 1}", "{a: 2}"),
+       ResultCode::kBudgetUnsatisfiable, 2, "min_available"}};
+  for (const Row& row : rows) {
+    std::vector<ConfigFault> faults;
+    CHECK_FALSE(ParseFleetConfig(row.text, "f.yaml", &faults));
+    CheckFault(row, faults);
+  }
+  std::vector<ConfigFault> faults;
+  CHECK(ParseFleetConfig(good, "f.yaml", &faults));
+}
+
+}  // namespace
+}  // namespace endivewood::testing
