--- a/src/settings.cc
+++ b/src/settings.cc
@@ -21,7 +21,6 @@
 constexpr int kMaxBodyBytes = 64 << 20;
 constexpr int kMinTimeoutMs = 10;
 constexpr int kMaxTimeoutMs = 3600 * 1000;
-constexpr int kMaxDrainMs = 24 * 3600 * 1000;
 
 /// Reads "address:port" values and rejects an address that is used twice.
 class EndpointReader {
@@ -81,21 +80,15 @@
                                             defaults.stop_timeout.count()))};
 }
 
-PlannerSettings ReadPlanner(YamlReader* reader, const YAML::Node& root) {
-  if (!root["planner"].IsDefined()) return {};
+PlannerSettings ReadPlanner(const YAML::Node& node, YamlReader* reader, EndpointReader* endpoints) {
+  constexpr int kMaxMs = 24 * 3600 * 1000;
   const PlannerSettings defaults;
-  const YAML::Node node = reader->Mapping(root, "planner");
-  reader->CheckKeys(node,
-                    {"interval_ms", "drain_timeout_ms", "reboot_timeout_ms", "switch_hold_ms"});
-  const auto read = [&](const char* key, int min, int max, Milliseconds fallback) {
-    return Milliseconds(reader->Int(node, key, min, max, static_cast<int>(fallback.count())));
-  };
+  reader->CheckKeys(node, {"control", "hold_ms", "loss_confirm_ms", "reboot_limit_ms"});
   return {
-      .interval = read("interval_ms", kMinTimeoutMs, kMaxTimeoutMs, defaults.interval),
-      .drain_timeout = read("drain_timeout_ms", kMinTimeoutMs, kMaxDrainMs, defaults.drain_timeout),
-      .reboot_timeout =
-          read("reboot_timeout_ms", kMinTimeoutMs, kMaxDrainMs, defaults.reboot_timeout),
-      .switch_hold = read("switch_hold_ms", 0, kMaxDrainMs, defaults.switch_hold)};
+      .control = endpoints->Read(node, "control", true),
+      .hold_ms = reader->Int(node, "hold_ms", 0, kMaxMs, defaults.hold_ms),
+      .loss_confirm_ms = reader->Int(node, "loss_confirm_ms", 0, kMaxMs, defaults.loss_confirm_ms),
+      .reboot_limit_ms = reader->Int(node, "reboot_limit_ms", 0, kMaxMs, defaults.reboot_limit_ms)};
 }
 
 }  // namespace
@@ -146,7 +139,10 @@
                            .log_level = ReadLevel(&reader, root),
                            .log_file = reader.String(root, "log_file", ""),
                            .limits = ReadLimits(&reader, root),
-                           .planner = ReadPlanner(&reader, root)};
+                           .planner = {}};
+  if (root["planner"].IsDefined()) {
+    settings.planner = ReadPlanner(root["planner"], &reader, &endpoints);
+  }
   std::set<std::string> names = {settings.name};
   for (const YAML::Node& node : reader.Sequence(root, "peers", false)) {
     reader.CheckKeys(node, {"name", "data_centre", "address"});
--- a/src/settings.h
+++ b/src/settings.h
@@ -32,12 +32,12 @@
   bool operator==(const ProcessLimits&) const = default;
 };
 
-/// Settings of the planner.
+/// Settings of the planner on the same instance; the times are those of PlannerOptions.
 struct PlannerSettings {
-  Milliseconds interval{1000};         ///< Between two looks at the fleet.
-  Milliseconds drain_timeout{600000};  ///< For the work in progress of a draining instance.
-  Milliseconds reboot_timeout{600000};
-  Milliseconds switch_hold{60000};  ///< Shortest time between two moves of one instance.
+  Endpoint control;  ///< Listener for dumps; invalid when the instance runs no planner.
+  int hold_ms = 10000;
+  int loss_confirm_ms = 5000;
+  int reboot_limit_ms = 600000;
 
   bool operator==(const PlannerSettings&) const = default;
 };
