Extend the operators' command line

Cause: it could only publish and switch, did not tell a rejected operator who won, and looked once for a record whose response was lost.

--- a/tools/endivewood.cc
+++ b/tools/endivewood.cc
@@ -4,106 +4,71 @@
 
 #include <iostream>
 
-#include "endivewood_p.h"
+#include "endivewood/commands.h"
+#include "settings.h"
 
 namespace endivewood {
 namespace {
 
-constexpr int kExitInvalid = 2;
-constexpr int kExitRejected = 3;
-constexpr int kExitUnreachable = 4;
-constexpr std::size_t kReadBatch = 512;
+constexpr int kDefaultWaitMs = 30000;
 
-/// Appends a record and reads the stream until the fold has decided about it.
-class Operator {
+/// Declares the options and turns them into typed values.
+class CommandLine {
  public:
-  explicit Operator(const Endpoint& platform)
-      : m_author(RandomHex128()), m_client(platform, m_author) {}
-
-  int Propose(const FleetChange& change) {
-    Reason reason;
-    if (!CatchUp(&reason)) return Report(reason);
-    const FleetRecord record{.id = RecordId(RandomHex128()),
-                             .author = m_author,
-                             .expected_version = ExpectedVersion(change),
-                             .change = change};
-    const auto offset = m_client.Append("fleet", EncodeFleetRecord(record), &reason);
-    if (!offset && reason.code != ResultCode::kAppendUncertain) return Report(reason);
-    if (!CatchUp(&reason)) return Report(reason);
-    for (const Verdict& verdict : m_verdicts) {
-      if (verdict.id != record.id) continue;
-      std::cout << (verdict.accepted() ? "accepted" : "rejected: ") << verdict.detail << "\n";
-      return verdict.accepted() ? 0 : kExitRejected;
+  ExitStatus Run(int argc, char** argv) {
+    m_command.parse(argc, argv);
+    OperatorOptions options{
+        .output = m_output.getValue() == "json" ? OutputFormat::kJson : OutputFormat::kTable,
+        .wait = m_wait.getValue(),
+        .follow = m_follow.getValue(),
+        .wait_limit = Milliseconds(m_wait_limit.getValue()),
+        .from_offset = m_from.getValue()};
+    if (m_expected.isSet()) options.expected_version = m_expected.getValue();
+    options.platform = ParseEndpoint(m_platform.getValue());
+    if (m_platform.isSet() && !options.platform) {
+      std::cerr << "--platform: found " << m_platform.getValue() << ", expected IP:PORT\n";
+      return ExitStatus::kInvalid;
     }
-    return Report({.code = ResultCode::kPlatformUnreachable, .text = "record not found"});
-  }
-
- private:
-  static int Report(const Reason& reason) {
-    std::cerr << static_cast<int>(reason.code) << " " << ResultCodeName(reason.code) << ": "
-              << reason.text << "\n";
-    return kExitUnreachable;
-  }
-
-  bool CatchUp(Reason* reason) {
-    while (true) {
-      const auto batch = m_client.Read("fleet", m_next, kReadBatch, Milliseconds(0), reason);
-      if (!batch) return false;
-      for (const LogRecord& record : batch->records) {
-        m_verdicts.push_back(m_fold.Apply(record.offset, record.payload));
-      }
-      m_next = batch->next_offset;
-      if (batch->records.empty()) return true;
+    if (m_deployment.isSet()) {
+      std::vector<ConfigFault> faults;
+      const auto processes = LoadDeployment(m_deployment.getValue(), &faults);
+      for (const ConfigFault& fault : faults) std::cerr << fault.str() << "\n";
+      if (!processes) return ExitStatus::kInvalid;
+      options.deployment = *processes;
     }
+    return RunCommand(options, m_words.getValue());
   }
 
-  std::uint64_t ExpectedVersion(const FleetChange& change) const {
-    const auto view = m_fold.View();
-    if (std::holds_alternative<ConfigPublished>(change)) return view->config_version;
-    if (std::holds_alternative<PresetSwitched>(change)) return view->preset_version;
-    return view->wave_version;
-  }
-
-  Incarnation m_author;
-  LogClient m_client;
-  FleetFold m_fold;
-  std::uint64_t m_next = 0;
-  std::vector<Verdict> m_verdicts;
+ private:
+  std::vector<std::string> m_formats = {"table", "json"};
+  TCLAP::ValuesConstraint<std::string> m_format_names{m_formats};
+  TCLAP::CmdLine m_command{"Operators' command line of endivewood", ' ', kVersion};
+  TCLAP::ValueArg<std::string> m_platform{"", "platform", "platform address", false,
+                                          "", "IP:PORT",  m_command};
+  TCLAP::ValueArg<std::string> m_deployment{
+      "", "deployment", "processes with their control addresses", false, "", "FILE", m_command};
+  TCLAP::ValueArg<std::string> m_output{"",      "output",        "output format", false,
+                                        "table", &m_format_names, m_command};
+  TCLAP::SwitchArg m_wait{"", "wait", "wait until every data centre has the change in force",
+                          m_command};
+  TCLAP::ValueArg<int> m_wait_limit{
+      "", "timeout-ms", "longest time to wait", false, kDefaultWaitMs, "MS", m_command};
+  TCLAP::SwitchArg m_follow{"", "follow", "events: go on as records arrive", m_command};
+  TCLAP::ValueArg<std::uint64_t> m_from{"",       "from",   "events: first offset", false, 0,
+                                        "OFFSET", m_command};
+  TCLAP::ValueArg<std::uint64_t> m_expected{
+      "",  "expect-version", "reject the change unless this version is in force", false, 0,
+      "N", m_command};
+  TCLAP::UnlabeledMultiArg<std::string> m_words{
+      "command",
+      "validate FILE | publish FILE | switch PRESET | wave start|pause|resume NAME | status | "
+      "dump PROCESS | events",
+      true, "WORD", m_command};
 };
 
-int Publish(Operator* fleet_operator, const std::string& file) {
-  const auto text = ReadFile(file);
-  std::vector<ConfigFault> faults;
-  const auto config = ParseFleetConfig(text.value_or(""), file, &faults);
-  for (const ConfigFault& fault : faults) std::cerr << fault.str() << "\n";
-  if (!config) return kExitInvalid;
-  return fleet_operator->Propose(ConfigPublished{.yaml = *text});
-}
-
-int Main(int argc, char** argv) {
-  TCLAP::CmdLine command("Operators' command line of endivewood", ' ', kVersion);
-  TCLAP::ValueArg<std::string> platform("", "platform", "platform address", true, "", "IP:PORT",
-                                        command);
-  TCLAP::UnlabeledMultiArg<std::string> words("command", "publish FILE | switch PRESET", true,
-                                              "WORD", command);
-  command.parse(argc, argv);
-  const std::string text = platform.getValue();
-  const std::size_t colon = text.rfind(':');
-  const Endpoint endpoint{.address = text.substr(0, colon),
-                          .port = static_cast<std::uint16_t>(std::atoi(text.c_str() + colon + 1))};
-  Operator fleet_operator(endpoint);
-  const auto& arguments = words.getValue();
-  if (arguments.size() == 2 && arguments[0] == "publish") {
-    return Publish(&fleet_operator, arguments[1]);
-  }
-  if (arguments.size() == 2 && arguments[0] == "switch") {
-    return fleet_operator.Propose(PresetSwitched{.preset = PresetName(arguments[1])});
-  }
-  std::cerr << "unknown command\n";
-  return kExitInvalid;
-}
-
 }  // namespace
 }  // namespace endivewood
 
-int main(int argc, char** argv) { return endivewood::Main(argc, argv); }
+int main(int argc, char** argv) {
+  return static_cast<int>(endivewood::CommandLine().Run(argc, argv));
+}
--- /dev/null
+++ b/tools/endivewood/commands.h
@@ -0,0 +1,28 @@
+/// @file
+/// The commands of the operators' command line.
+#pragma once
+
+#include "deployment.h"
+#include "fleet_operator.h"
+
+namespace endivewood {
+
+enum class OutputFormat : std::uint8_t { kTable, kJson };
+
+/// The command line after parsing.
+struct OperatorOptions {
+  std::optional<Endpoint> platform;
+  std::vector<DeployedProcess> deployment;
+  OutputFormat output = OutputFormat::kTable;
+  bool wait = false;
+  bool follow = false;
+  Milliseconds wait_limit{30000};
+  std::uint64_t from_offset = 0;
+  std::optional<std::uint64_t> expected_version;
+};
+
+/// Runs one command.
+/// @param words the command and its arguments.
+ExitStatus RunCommand(const OperatorOptions& options, const std::vector<std::string>& words);
+
+}  // namespace endivewood
