--- a/src/fleet.cc
+++ b/src/fleet.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <set>
 
+#include "chart.h"
 #include "codec.h"
 #include "config.h"
 
@@ -136,30 +137,27 @@
 
   Verdict operator()(const DrainStarted& change) {
     InstanceView* instance = nullptr;
-    if (auto fault = Find(change.instance, InstanceState::kReady, &instance)) return *fault;
+    if (auto fault = Find(change.instance, InstanceEvent::kDrain, &instance)) return *fault;
     if (!BasisHolds(change)) return Conflict("the basis of the drain");
     const int remaining = CountOf(*m_ready, instance->pool) - 1;
     const int required = m_view->RequiredAvailable(instance->pool);
     if (remaining < required) return Breach(instance->pool.str(), remaining, required);
     if (remaining < change.keep) return Conflict("pool " + instance->pool.str());
-    Move(instance, InstanceState::kDraining);
+    Move(instance, InstanceEvent::kDrain);
     return {};
   }
 
   Verdict operator()(const RebootStarted& change) {
     InstanceView* instance = nullptr;
-    if (auto fault = Find(change.instance, InstanceState::kDraining, &instance)) return *fault;
+    if (auto fault = Find(change.instance, InstanceEvent::kReboot, &instance)) return *fault;
     instance->maintained_in = m_view->wave.sequence;
-    Move(instance, InstanceState::kRebooting);
+    Move(instance, InstanceEvent::kReboot);
     return {};
   }
 
   Verdict operator()(const InstanceAssigned& change) {
     InstanceView* instance = nullptr;
-    if (auto fault = Find(change.instance, std::nullopt, &instance)) return *fault;
-    const bool returns =
-        instance->state == InstanceState::kRebooting || instance->state == InstanceState::kLost;
-    if (!returns) return InvalidTransition(*instance);
+    if (auto fault = Find(change.instance, InstanceEvent::kAssign, &instance)) return *fault;
     if (m_view->config.FindPool(change.pool) == nullptr) {
       return {.code = ResultCode::kUnknownReference, .detail = "pool " + change.pool.str()};
     }
@@ -167,21 +165,20 @@
     if (full) return Conflict("pool " + change.pool.str());
     instance->pool = change.pool;
     ++instance->assignment;
-    Move(instance, InstanceState::kReady);
+    Move(instance, InstanceEvent::kAssign);
     return {};
   }
 
   Verdict operator()(const InstanceLost& change) {
     InstanceView* instance = nullptr;
-    if (auto fault = Find(change.instance, std::nullopt, &instance)) return *fault;
-    if (instance->state == InstanceState::kLost) return InvalidTransition(*instance);
-    Move(instance, InstanceState::kLost);
+    if (auto fault = Find(change.instance, InstanceEvent::kLose, &instance)) return *fault;
+    Move(instance, InstanceEvent::kLose);
     return {};
   }
 
   Verdict operator()(const InstanceRemoved& change) {
     InstanceView* instance = nullptr;
-    if (auto fault = Find(change.instance, InstanceState::kLost, &instance)) return *fault;
+    if (auto fault = Find(change.instance, InstanceEvent::kRemove, &instance)) return *fault;
     m_view->removed_version = std::max(m_view->removed_version, instance->version);
     m_view->instances.erase(change.instance);
     return {};
@@ -189,7 +186,7 @@
 
   Verdict operator()(const WaveStarted& change) {
     if (m_expected != m_view->wave_version) return Conflict("wave");
-    if (m_view->wave.state != WaveState::kFinished) {
+    if (!IsAllowed(m_view->wave.state, WaveEvent::kStart)) {
       return {.code = ResultCode::kWaveActive, .detail = m_view->wave.name.str()};
     }
     m_view->wave = {.name = change.wave,
@@ -203,27 +200,27 @@
   }
 
   Verdict operator()(const WavePaused& change) {
-    Verdict verdict = MoveWave(change.wave, WaveState::kRunning, WaveState::kPaused, change.cause);
+    Verdict verdict = MoveWave(change.wave, WaveEvent::kPause, change.cause);
     if (verdict.accepted()) m_view->wave.automatic_pause = change.automatic;
     return verdict;
   }
 
   Verdict operator()(const WaveResumed& change) {
-    Verdict verdict = MoveWave(change.wave, WaveState::kPaused, WaveState::kRunning, "");
+    Verdict verdict = MoveWave(change.wave, WaveEvent::kResume, "");
     if (verdict.accepted()) m_view->wave.automatic_pause = false;
     return verdict;
   }
 
   Verdict operator()(const WaveFinished& change) {
     const WaveState from = m_view->wave.state;
-    if (from == WaveState::kFinished) return WaveFault(change.wave);
+    if (!IsAllowed(from, WaveEvent::kFinish)) return WaveFault(change.wave);
     const auto outstanding = [&](const auto& item) {
       return item.second.state != InstanceState::kLost && m_view->AwaitsMaintenance(item.second);
     };
     const auto& instances = m_view->instances;
     const bool complete = std::none_of(instances.begin(), instances.end(), outstanding);
     if (from == WaveState::kRunning && !complete) return WaveFault(change.wave);
-    Verdict verdict = MoveWave(change.wave, from, WaveState::kFinished, "");
+    Verdict verdict = MoveWave(change.wave, WaveEvent::kFinish, "");
     if (verdict.accepted()) m_view->wave.automatic_pause = false;
     return verdict;
   }
@@ -325,33 +322,33 @@
                                         .maintained_in = m_view->wave.sequence};
   }
 
-  /// Looks up an instance and checks the expected version and, if given, the state.
-  std::optional<Verdict> Find(const InstanceName& name, std::optional<InstanceState> state,
-                              InstanceView** found) {
+  /// Looks up an instance and checks the expected version and that the chart allows the event.
+  std::optional<Verdict> Find(const InstanceName& name, InstanceEvent event, InstanceView** found) {
     const auto item = m_view->instances.find(name);
     if (item == m_view->instances.end()) {
       return Verdict{.code = ResultCode::kUnknownInstance, .detail = name.str()};
     }
     if (item->second.version != m_expected) return Conflict("instance " + name.str());
-    if (state && item->second.state != *state) return InvalidTransition(item->second);
+    if (!IsAllowed(item->second.state, event)) return InvalidTransition(item->second);
     *found = &item->second;
     return std::nullopt;
   }
 
   /// @attention Set the pool before: the counts follow the pool that the instance has now.
-  void Move(InstanceView* instance, InstanceState state) {
+  void Move(InstanceView* instance, InstanceEvent event) {
+    const InstanceState state = NextState(instance->state, event).value();
     if (instance->state == InstanceState::kReady) --(*m_ready)[instance->pool];
     if (state == InstanceState::kReady) ++(*m_ready)[instance->pool];
     instance->state = state;
     ++instance->version;
   }
 
-  Verdict MoveWave(const WaveName& name, WaveState from, WaveState to, const std::string& cause) {
+  Verdict MoveWave(const WaveName& name, WaveEvent event, const std::string& cause) {
     if (m_expected != m_view->wave_version) return Conflict("wave");
-    if (m_view->wave.name != name || m_view->wave.state != from) {
+    if (m_view->wave.name != name || !IsAllowed(m_view->wave.state, event)) {
       return WaveFault(name);
     }
-    m_view->wave.state = to;
+    m_view->wave.state = NextState(m_view->wave.state, event).value();
     m_view->wave.pause_cause = cause;
     ++m_view->wave_version;
     return {};
