--- a/src/long_runner.cc
+++ b/src/long_runner.cc
@@ -239,6 +239,8 @@
     RunItem(*item);
     Lock lock(m_mutex);
     m_running.erase(item->accepted.handle);
+    const WorkItem* left = m_fold.Find(item->accepted.handle);
+    if (left == nullptr || left->finished) m_not_reached.erase(item->accepted.handle);
   }
 }
 
@@ -270,6 +272,7 @@
 
 void LongRunner::Delay(const WorkHandle& handle) {
   Lock lock(m_mutex);
+  m_not_reached.erase(handle);
   m_not_before[handle] = m_options.clock->Now() + Milliseconds(config::kLongRetryMs);
 }
 
@@ -308,14 +311,25 @@
   RunAttempt(item, *service);
 }
 
-void LongRunner::RunAttempt(const WorkItem& item, const ServiceConfig& service) {
+std::optional<SlotGrant> LongRunner::AcquireSlot(const WorkItem& item,
+                                                 const ServiceConfig& service) {
+  std::vector<InstanceName> avoid = item.failed_on;
+  {
+    Lock lock(m_mutex);
+    const std::vector<InstanceName>& not_reached = m_not_reached[item.accepted.handle];
+    avoid.insert(avoid.end(), not_reached.begin(), not_reached.end());
+  }
   Reason reason;
-  const auto grant = m_options.slots->Acquire({.service = service.name,
-                                               .work_class = WorkClass::kLong,
-                                               .queue_deadline = kQueueWait,
-                                               .avoid = item.failed_on,
-                                               .trial_allowed = service.idempotent},
-                                              &reason);
+  return m_options.slots->Acquire({.service = service.name,
+                                   .work_class = WorkClass::kLong,
+                                   .queue_deadline = kQueueWait,
+                                   .avoid = std::move(avoid),
+                                   .trial_allowed = service.idempotent},
+                                  &reason);
+}
+
+void LongRunner::RunAttempt(const WorkItem& item, const ServiceConfig& service) {
+  const auto grant = AcquireSlot(item, service);
   if (!grant) return Delay(item.accepted.handle);
   const AttemptStarted attempt{.handle = item.accepted.handle,
                                .task = TaskId(RandomHex128()),
@@ -373,12 +387,20 @@
   }
   if (reading.effect == UpstreamEffect::kNotRun) {
     EndAttempt(attempt, AttemptEnd::kNotRun, 0);
-    return Delay(attempt.handle);
+    return NoteNotRun(attempt.handle, grant, reading.slot);
   }
   if (reading.effect == UpstreamEffect::kDone && SettleByState(attempt, *outcome.reply)) return;
   Adopt(item, attempt, service);
 }
 
+void LongRunner::NoteNotRun(const WorkHandle& handle, const SlotGrant& grant, SlotOutcome slot) {
+  if (slot == SlotOutcome::kRefusedBusy) return Delay(handle);
+  // Each attempt costs two appends, so another upstream is tried at once, but the same one only
+  // after a delay.
+  Lock lock(m_mutex);
+  m_not_reached[handle].push_back(grant.upstream);
+}
+
 void LongRunner::Adopt(const WorkItem& item, const AttemptStarted& attempt,
                        const ServiceConfig& service) {
   const Milliseconds end = m_options.clock->Now() + service.run_timeout;
--- a/src/long_runner.h
+++ b/src/long_runner.h
@@ -66,6 +66,8 @@
   void RunnerLoop();
   std::optional<WorkItem> PickItem();
   void RunItem(const WorkItem& item);
+  std::optional<SlotGrant> AcquireSlot(const WorkItem& item, const ServiceConfig& service);
+  void NoteNotRun(const WorkHandle& handle, const SlotGrant& grant, SlotOutcome slot);
   void RunAttempt(const WorkItem& item, const ServiceConfig& service);
   bool RecordAttempt(const AttemptStarted& attempt);
   void CallUpstream(const WorkItem& item, const ServiceConfig& service, const SlotGrant& grant,
@@ -93,6 +95,8 @@
   Milliseconds m_last_append{0};
   std::map<WorkHandle, ServiceName> m_running;
   std::map<WorkHandle, Milliseconds> m_not_before;
+  /// Upstreams that were not reached or drained since the item last waited.
+  std::map<WorkHandle, std::vector<InstanceName>> m_not_reached;
   /// Attempts that were recorded, or may have been, but surely not sent.
   std::set<TaskId> m_unsent;
   std::map<std::uint64_t, AttemptStarted> m_by_grant;
--- a/tests/process_fixture.h
+++ b/tests/process_fixture.h
@@ -202,6 +202,7 @@
          << "services:\n  - {name: quick, pool: quick, class: short}\n"
          << "  - {name: charge, pool: quick, class: short, idempotent: false}\n"
          << "  - {name: render, pool: long, class: long}\n"
+         << "  - {name: master, pool: long, class: long, idempotent: false}\n"
          << "presets:\n  - {name: ordinary, targets: {quick: " << per_pool << ", long: " << per_pool
          << "}}\n"
          << "  - {name: peak, targets: {quick: " << per_pool << ", long: " << per_pool << "}}\n"
