--- a/standins/upstream.cc
+++ b/standins/upstream.cc
@@ -9,11 +9,12 @@
 #include <map>
 
 #include "endivewood_p.h"
+#include "worker_state.h"
 
 namespace endivewood {
 namespace {
 
-constexpr unsigned kThreads = 64;  // The brief's connection limit of an executor.
+constexpr unsigned kThreads = 64;  // Connections that an executor accepts.
 
 /// Faults of the work interface, each set over HTTP while the stand-in runs.
 struct WorkFaults {
@@ -176,10 +177,13 @@
 /// The stand-in's HTTP interface.
 class Executor {
  public:
-  explicit Executor(int slots) : m_work(slots) {}
+  Executor(int slots, std::uint64_t assignment, Milliseconds reboot_time)
+      : m_work(slots), m_worker(assignment, reboot_time) {}
 
   HttpReply Handle(const HttpRequest& request) {
-    if (request.path == "/work") return m_work.Work(request);
+    if (request.path == "/work") return Work(request);
+    if (request.path == "/status") return m_worker.Handle(request);
+    if (request.path.starts_with("/control/")) return m_worker.Handle(request);
     if (request.path.starts_with("/tasks/")) return m_work.HandleTask(request);
     if (request.path == "/faults") return m_work.SetFaults(request);
     if (request.path == "/effects") return m_work.Effects();
@@ -187,7 +191,15 @@
   }
 
  private:
+  HttpReply Work(const HttpRequest& request) {
+    if (auto refusal = m_worker.Admit(request)) return *refusal;
+    HttpReply reply = m_work.Work(request);
+    m_worker.Finish();
+    return reply;
+  }
+
   WorkRunner m_work;
+  WorkerStateMachine m_worker;
 };
 
 int Main(int argc, char** argv) {
@@ -196,9 +208,12 @@
                                        command);
   TCLAP::ValueArg<int> port("", "port", "TCP port", true, 0, "PORT", command);
   TCLAP::ValueArg<int> slots("", "slots", "requests at a time", false, 8, "N", command);
+  TCLAP::ValueArg<int> assignment("", "assignment", "first assignment", false, 1, "N", command);
+  TCLAP::ValueArg<int> reboot("", "reboot-ms", "time of a reboot", false, 500, "MS", command);
   command.parse(argc, argv);
   BlockStopSignals();
-  Executor executor(slots.getValue());
+  Executor executor(slots.getValue(), static_cast<std::uint64_t>(assignment.getValue()),
+                    Milliseconds(reboot.getValue()));
   HttpServer server({.endpoint = {.address = address.getValue(),
                                   .port = static_cast<std::uint16_t>(port.getValue())},
                      .max_threads = kThreads},
