--- a/daemons/endivewood_entry.cc
+++ b/daemons/endivewood_entry.cc
@@ -7,6 +7,7 @@
 
 #include "config.h"
 #include "entry.h"
+#include "events.h"
 
 namespace endivewood {
 namespace {
