--- a/src/config.h
+++ b/src/config.h
@@ -60,4 +60,144 @@
 /// Milliseconds between two questions to a worker that did not answer.
 inline constexpr std::int64_t kSuspectRetryMs = 1000;
 
+/// Records after which a new snapshot is appended. A reader folds at most about twice as many
+/// records before it serves, which takes a few milliseconds.
+inline constexpr std::uint64_t kSnapshotEveryRecords = 256;
+
+/// Milliseconds after which a snapshot is appended again: a third of the shortest retention that
+/// the log service must have (the 600 s of idempotency keys), so that two are always retained.
+inline constexpr std::int64_t kSnapshotMaxAgeMs = 200000;
+
+/// Milliseconds by which each further entry waits for a better ranked one to append a snapshot.
+inline constexpr std::int64_t kSnapshotRankMs = 3000;
+
+/// Milliseconds between two attempts of one entry: an append is resolved within its timeout.
+inline constexpr std::int64_t kSnapshotRetryMs = 2000;
+
+// Request path.
+
+/// Milliseconds after the time in an idempotency key during which the key may be used. The design
+/// page states 600 s; it bounds the fold's state and lets records expire.
+inline constexpr std::int64_t kClaimRetentionMs = 600000;
+
+/// Milliseconds by which the clocks of callers, entries and the log service may differ.
+inline constexpr std::int64_t kClaimClockSkewMs = 60000;
+
+/// Milliseconds for which a fence is remembered. An author that is paused for longer reads its
+/// fence itself, or finds that the stream has expired, and takes a new incarnation.
+inline constexpr std::int64_t kFenceRetentionMs = 86400000;
+
+/// Bytes of recorded results that one process retains; an entry has 128 MB in all. The code of a
+/// result is always retained.
+inline constexpr std::size_t kMaxRetainedResultBytes = 32 << 20;
+
+/// Bytes of one result that is recorded with its body; larger results are recorded by code only.
+inline constexpr std::size_t kMaxRecordedResultBytes = 64 << 10;
+
+/// Keys that an entry holds before it starts no further claims: 600 s at 160 keys a second.
+inline constexpr std::size_t kMaxClaimKeys = 100000;
+
+/// Events that one append of claims carries at most.
+inline constexpr std::size_t kMaxClaimBatch = 256;
+
+/// Bytes of events that one append of claims carries at most, unless one event alone is larger.
+inline constexpr std::size_t kMaxClaimBatchBytes = 512 << 10;
+
+/// Appends of claims that one entry makes in a second: nine entries share the log service's
+/// several hundred with the other streams.
+inline constexpr std::int64_t kClaimAppendsPerSecond = 30;
+
+/// Appends of claims that an entry may make at once after an idle time.
+inline constexpr std::int64_t kClaimAppendBurst = 10;
+
+/// Milliseconds that a request waits for its claim to appear in the stream before it gives up.
+inline constexpr std::int64_t kClaimTimeoutMs = 3000;
+
+/// Milliseconds between the signs of life of an entry that holds or waits for a claim.
+inline constexpr std::int64_t kSignOfLifeMs = 1000;
+
+/// Milliseconds of log time without a sign of life after which an incarnation is fenced. Five
+/// missed signs; a wrong fence costs an "unknown effect" answer, never a second run.
+inline constexpr std::int64_t kFenceAfterMs = 5000;
+/// Bytes of a peer frame: the largest record of the log service and its envelope.
+inline constexpr std::size_t kMaxFrameBytes = (4 << 20) + 4096;
+
+/// Bytes of a frame before the sender has said who it is.
+inline constexpr std::size_t kMaxHelloBytes = 1024;
+
+/// Bytes that wait for a peer that doesn't read. Beyond it the connection is closed.
+inline constexpr std::size_t kMaxPeerBacklogBytes = 3 * kMaxFrameBytes;
+
+/// Milliseconds between two heartbeats; a change of the applied offset sends one at once.
+inline constexpr std::int64_t kHeartbeatMs = 500;
+
+/// Milliseconds of silence after which a peer is suspected: two lost heartbeats and half a period
+/// of delay, and under the 2 s in which urgent work and a leaving instance's work must move on.
+inline constexpr std::int64_t kPeerSuspectMs = 1500;
+
+/// Milliseconds of silence after which a peer's connections are closed. A shorter pause (a stopped
+/// or swapped process) keeps its grants.
+inline constexpr std::int64_t kPeerDeadMs = 5000;
+
+/// Milliseconds between two checks of the peers; also the least time between two heartbeats.
+inline constexpr std::int64_t kPeerTickMs = 20;
+
+/// Milliseconds that a connection attempt to a peer may take, and between two attempts.
+inline constexpr std::int64_t kPeerConnectMs = 500;
+inline constexpr std::int64_t kPeerReconnectMs = 200;
+
+/// Milliseconds for which a peer may be ahead before an entry that reads the log asks for records:
+/// the log usually delivers them first. An entry that has lost the log asks at once.
+inline constexpr std::int64_t kRelayPatienceMs = 300;
+
+/// Milliseconds after which an unanswered request for records goes to another peer: a third of the
+/// 2 s in which a change must be in force.
+inline constexpr std::int64_t kRelayRetryMs = 600;
+
+/// Records and bytes that an entry keeps to relay. A peer that is further behind takes the state.
+inline constexpr std::size_t kRelayRecords = 1024;
+inline constexpr std::size_t kRelayBytes = 2 << 20;
+
+/// Milliseconds that a reader whose offset has expired waits for the state of a peer, which has
+/// checked every snapshot, before it searches the log for one.
+inline constexpr std::int64_t kPeerStateWaitMs = 1000;
+
+/// Requests for a slot that one peer may have waiting, as many as a caller listener has threads.
+inline constexpr std::size_t kMaxRemoteAcquires = 600;
+
+/// Requests that wait in one queue. At the smallest pool of a data centre, 16 slots with work of
+/// 100 ms, a longer queue lasts more than 6 s, which is past every usual deadline.
+inline constexpr std::size_t kQueueLimit = 1000;
+
+/// Milliseconds between two checks for expired deadlines.
+inline constexpr std::int64_t kDispatchTickMs = 5;
+
+/// Distinct instances on which a job may fail. Two failures can be two faulty instances of one
+/// rack; a third makes the job itself the likely cause.
+inline constexpr std::size_t kNotRunnableFailures = 3;
+
+/// Milliseconds that short work runs at most; longer work is demoted to the long class. Callers
+/// wait for short work, and a second is where a person notices the wait.
+inline constexpr std::int64_t kShortRunLimitMs = 1000;
+
+/// Milliseconds assumed for a checkpoint until the first one has been observed.
+inline constexpr std::int64_t kCheckpointGuessMs = 100;
+
+/// Milliseconds after which an unanswered checkpoint request no longer counts as a slot to come.
+inline constexpr std::int64_t kCheckpointTimeoutMs = 2000;
+
+/// Milliseconds without new grants after an upstream refused as busy: its slots are taken by
+/// requests that this queue doesn't know, and a short request lasts about this long.
+inline constexpr std::int64_t kBusyPauseMs = 50;
+
+/// Milliseconds without new grants after an upstream refused as draining or was not reached. The
+/// fleet view shows a planned change within 2 s, and failures lead to ejection.
+inline constexpr std::int64_t kUnavailablePauseMs = 500;
+
+/// Milliseconds over which the arrival rate of short work is averaged. Peaks last for seconds.
+inline constexpr double kArrivalWindowMs = 1000.0;
+
+/// Observations over which the run time and the class of a service are averaged.
+inline constexpr double kRunTimeWindow = 20.0;
+
 }  // namespace endivewood::config
--- a/src/fleet.cc
+++ b/src/fleet.cc
@@ -369,6 +369,9 @@
   const RecordId id = record ? record->id : RecordId();
   // Peers relay records that the log service also delivers.
   if (offset < m_view.next_offset) return {.id = id, .code = ResultCode::kDuplicateRecord};
+  // A snapshot is compared with the state before it, so before anything changes here.
+  const auto* snapshot = record ? std::get_if<SnapshotTaken>(&record->change) : nullptr;
+  const Verdict snapshot_verdict = snapshot ? CheckSnapshot(offset, *snapshot) : Verdict{};
   if (m_counted_offset != m_view.next_offset) m_ready_counts = CountReady(m_view);
   m_view.next_offset = offset + 1;
   m_counted_offset = m_view.next_offset;
@@ -376,6 +379,7 @@
   if (!m_recent_ids.Insert(id)) return {.id = id, .code = ResultCode::kDuplicateRecord};
   ChangeApplier applier(&m_view, &m_ready_counts, record->expected_version);
   Verdict verdict = std::visit(applier, record->change);
+  if (snapshot) verdict = snapshot_verdict;
   verdict.id = id;
   return verdict;
 }
