--- a/src/bench_fleet.h
+++ b/src/bench_fleet.h
@@ -114,8 +114,7 @@
 /// @returns false when ours misses the target of the design page.
 bool BenchMoves(const FleetShape& shape, std::ostream* out);
 bool BenchRollout(const FleetShape& shape, std::ostream* out);
-bool BenchBuffer(const FleetShape& shape, std::ostream* out);
-/// Cost of one record in a fold of `instances` instances.
-bool BenchFold(int instances, std::ostream* out);
+/// Cost of one drain, reboot or assignment record in a fold of 890 instances.
+void BenchFold(std::ostream* out);
 
 }  // namespace endivewood
--- a/src/fleet_run.cc
+++ b/src/fleet_run.cc
@@ -1,6 +1,7 @@
 /// @file
 /// The fold, modelled workers and planners on a modelled time.
 #include <algorithm>
+#include <numeric>
 
 #include "bench_fleet.h"
 
@@ -26,9 +27,11 @@
   const int in_pools = shape.pools * shape.pool_instances;
   const int centre = index % shape.data_centres + 1;
   const int rack = index / shape.data_centres / shape.rack_instances;
-  // Neighbours in a rack belong to different pools, so that a rack takes little from each.
-  const std::string pool =
-      index < in_pools ? PoolOf(index / shape.data_centres % shape.pools) : "spare";
+  // Neighbours in a rack belong to different pools, so that a rack takes little from each, and
+  // each data centre has instances of every pool.
+  const bool coprime = std::gcd(shape.data_centres, shape.pools) == 1;
+  const int turn = coprime ? index : index / shape.data_centres;
+  const std::string pool = index < in_pools ? PoolOf(turn % shape.pools) : "spare";
   return "  - {name: i" + std::to_string(index) + ", data_centre: dc" + std::to_string(centre) +
          ", rack: r" + std::to_string(centre) + "-" + std::to_string(rack) + ", pool: " + pool +
          ", address: 127.0.0.1, port: " + std::to_string(kBasePort + index) + "}\n";
