Test planners, moves and waves through processes

Cause: Three faults that only processes showed: cxxtools sends query parameters only with GET, so orders to workers had no assignment; the wave's leader could be a planner that doesn't act for its data centre, so a wave never ended; requests sent before an entry has a configuration look like cut ones (a fault of the test).

Change: HttpCall puts the query into the URL; LeadsWave chooses among the planners that lead a data centre. The fixture starts planners, spare instances and budgets.

--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -11,9 +11,10 @@
 namespace {
 
 cxxtools::http::Request Convert(const HttpRequest& request) {
-  cxxtools::http::Request converted(request.path);
+  // cxxtools sends qparams() only with GET.
+  const std::string query = request.query.empty() ? "" : "?" + request.query;
+  cxxtools::http::Request converted(request.path + query);
   converted.method(request.method);
-  converted.qparams(request.query);
   for (const HttpHeader& header : request.headers) {
     converted.setHeader(header.name.c_str(), header.value.c_str());
   }
--- a/src/planner_membership.cc
+++ b/src/planner_membership.cc
@@ -55,10 +55,13 @@
 }
 
 bool PlannerMembership::LeadsWave(const PlannerHeartbeat& self) const {
+  // Only a planner that acts for its data centre acts at all.
+  if (!LeadsCentre(self)) return false;
   const std::uint64_t own = Weight("wave", self.incarnation);
-  return m_alive.contains(self.incarnation) &&
-         std::none_of(m_alive.begin(), m_alive.end(),
-                      [&](const auto& item) { return Weight("wave", item.first) > own; });
+  return std::none_of(m_alive.begin(), m_alive.end(), [&](const auto& item) {
+    const PlannerHeartbeat other{.data_centre = item.second.data_centre, .incarnation = item.first};
+    return Weight("wave", item.first) > own && LeadsCentre(other);
+  });
 }
 
 }  // namespace endivewood
--- a/tests/planner_test.cc
+++ b/tests/planner_test.cc
@@ -8,6 +8,7 @@
 
 #include "bench_fleet.h"
 #include "planner_census.h"
+#include "planner_membership.h"
 
 namespace endivewood::testing {
 namespace {
@@ -162,6 +163,30 @@
   CHECK_FALSE(order(WorkerOrder::kReboot, 1));
 }
 
+// Guards against a wave that nobody ends: its leader has to be one that acts for a data centre.
+TEST_CASE("exactly one planner leads a wave, and it leads its data centre") {
+  for (int round = 0; round < 50; ++round) {
+    PlannerMembership membership;
+    std::vector<PlannerHeartbeat> members;
+    for (int number = 0; number < 9; ++number) {
+      const std::string name = std::to_string(round) + "-" + std::to_string(number);
+      members.push_back({.data_centre = DataCentreName("dc" + std::to_string(number % 3)),
+                         .incarnation = Incarnation(name)});
+      membership.Apply(Milliseconds(0), members.back());
+    }
+    int centres = 0;
+    int waves = 0;
+    for (const PlannerHeartbeat& member : members) {
+      if (membership.LeadsCentre(member)) ++centres;
+      if (!membership.LeadsWave(member)) continue;
+      ++waves;
+      CHECK(membership.LeadsCentre(member));
+    }
+    CHECK(centres == 3);
+    CHECK(waves == 1);
+  }
+}
+
 // Guards against budget violations and fleets that never come to rest, whatever operators do and
 // whichever workers fail for a time.
 TEST_CASE("any sequence of switches, waves and failures ends in the preset in force") {
--- a/tests/process_fixture.h
+++ b/tests/process_fixture.h
@@ -82,8 +82,12 @@
 struct DeploymentOptions {
   int data_centres = 3;
   int entries_per_data_centre = 2;
-  int upstreams_per_service = 1;  ///< In each data centre.
-  std::uint16_t base_port = 0;    ///< Tests run in parallel, so each uses a port range of its own.
+  int upstreams_per_service = 1;     ///< In each data centre.
+  int planners_per_data_centre = 0;  ///< On the first entry instances.
+  int spares_per_data_centre = 0;
+  int min_available = 0;        ///< Budget of each service.
+  int peak_gain = 0;            ///< Instances that pool quick gains in the preset "peak".
+  std::uint16_t base_port = 0;  ///< Tests run in parallel, so each uses a port range of its own.
 };
 
 /// A deployment of stand-ins and daemons. Data centre N uses the addresses 127.0.N.x.
@@ -97,6 +101,11 @@
     for (int dc = 1; dc <= options.data_centres; ++dc) StartUpstreams(dc);
     for (int dc = 1; dc <= options.data_centres; ++dc) StartEntries(dc);
     WriteFleetConfig();
+    for (int dc = 1; dc <= options.data_centres; ++dc) {
+      for (int planner = 1; planner <= options.planners_per_data_centre; ++planner) {
+        StartPlanner(dc, planner);
+      }
+    }
   }
   ~Deployment() {
     m_processes.clear();
@@ -107,7 +116,7 @@
   Endpoint Callers(int dc, int entry) const { return At(EntryAddress(dc, entry), 1); }
   Endpoint Control(int dc, int entry) const { return At(EntryAddress(dc, entry), 2); }
   Endpoint Upstream(int dc, const std::string& pool, int index) const {
-    const int pool_number = pool == "quick" ? 0 : 1;
+    const int pool_number = pool == "quick" ? 0 : pool == "long" ? 1 : 2;
     const int host = 100 + pool_number * 20 + index;
     return At("127.0." + std::to_string(dc) + "." + std::to_string(host), 0);
   }
@@ -132,6 +141,20 @@
     Start(name, "endivewood-entry", {"--config", SettingsFile(dc, entry)}, Control(dc, entry));
   }
 
+  Endpoint PlannerControl(int dc, int planner) const { return At(EntryAddress(dc, planner), 4); }
+
+  /// Starts a planner, also again after a test ended it.
+  void StartPlanner(int dc, int planner) {
+    const std::string name = PlannerName(dc, planner);
+    m_processes.erase(name);
+    Start(name, "endivewood-planner", {"--config", SettingsFile(dc, planner)},
+          PlannerControl(dc, planner));
+  }
+
+  static std::string PlannerName(int dc, int planner) {
+    return "planner-" + std::to_string(dc) + "-" + std::to_string(planner);
+  }
+
   static std::string EntryName(int dc, int entry) {
     return "entry-" + std::to_string(dc) + "-" + std::to_string(entry);
   }
@@ -159,15 +182,31 @@
   }
 
   void StartUpstreams(int dc) {
-    for (const char* pool : {"quick", "long"}) {
-      for (int index = 1; index <= m_options.upstreams_per_service; ++index) {
+    for (const char* pool : {"quick", "long", "spare"}) {
+      for (int index = 1; index <= InstancesOf(pool); ++index) {
         const Endpoint endpoint = Upstream(dc, pool, index);
         Start(UpstreamName(dc, pool, index), "upstream",
               {"--address", endpoint.address, "--port", std::to_string(endpoint.port)}, endpoint);
+        if (m_options.planners_per_data_centre > 0) Register(dc, pool, index);
       }
     }
   }
 
+  int InstancesOf(const std::string& pool) const {
+    return pool == "spare" ? m_options.spares_per_data_centre : m_options.upstreams_per_service;
+  }
+
+  /// Lists an upstream at the platform, which then controls it as a worker.
+  void Register(int dc, const std::string& pool, int index) {
+    const Endpoint endpoint = Upstream(dc, pool, index);
+    const std::string query = "name=" + UpstreamName(dc, pool, index) + "&data_centre=dc" +
+                              std::to_string(dc) + "&rack=r" + std::to_string(dc) + "-" +
+                              std::to_string(index) + "&address=" + endpoint.address +
+                              "&port=" + std::to_string(endpoint.port);
+    const HttpRequest request{.method = "POST", .path = "/instances", .query = query};
+    REQUIRE(HttpCall(PlatformEndpoint(), request, Milliseconds(5000)).reply);
+  }
+
   void StartEntries(int dc) {
     for (int entry = 1; entry <= m_options.entries_per_data_centre; ++entry) {
       WriteSettings(dc, entry);
@@ -185,7 +224,9 @@
     file << "name: " << EntryName(dc, entry) << "\ndata_centre: dc" << dc
          << "\ncallers: " << Callers(dc, entry).str() << "\ncontrol: " << Control(dc, entry).str()
          << "\npeer: " << At(EntryAddress(dc, entry), 3).str()
-         << "\nplatform: " << PlatformEndpoint().str() << "\npeers:\n";
+         << "\nplatform: " << PlatformEndpoint().str() << "\nplanner: {control: \""
+         << PlannerControl(dc, entry).str() << "\", hold_ms: 500, loss_confirm_ms: 3000}"
+         << "\npeers:\n";
     for (int other_dc = 1; other_dc <= m_options.data_centres; ++other_dc) {
       for (int other = 1; other <= m_options.entries_per_data_centre; ++other) {
         if (other_dc == dc && other == entry) continue;
@@ -197,18 +238,20 @@
 
   void WriteFleetConfig() {
     const int per_pool = m_options.data_centres * m_options.upstreams_per_service;
+    const int peak = per_pool + m_options.peak_gain;
+    const std::string budget = ", min_available: " + std::to_string(m_options.min_available);
     std::ofstream file(FleetFile());
     file << "pools:\n  - {name: quick}\n  - {name: long}\n  - {name: spare, spare: true}\n"
-         << "services:\n  - {name: quick, pool: quick, class: short}\n"
+         << "services:\n  - {name: quick, pool: quick, class: short" << budget << "}\n"
          << "  - {name: charge, pool: quick, class: short, idempotent: false}\n"
-         << "  - {name: render, pool: long, class: long}\n"
+         << "  - {name: render, pool: long, class: long" << budget << "}\n"
          << "presets:\n  - {name: ordinary, targets: {quick: " << per_pool << ", long: " << per_pool
          << "}}\n"
-         << "  - {name: peak, targets: {quick: " << per_pool << ", long: " << per_pool << "}}\n"
+         << "  - {name: peak, targets: {quick: " << peak << ", long: " << per_pool << "}}\n"
          << "instances:\n";
     for (int dc = 1; dc <= m_options.data_centres; ++dc) {
-      for (const char* pool : {"quick", "long"}) {
-        for (int index = 1; index <= m_options.upstreams_per_service; ++index) {
+      for (const char* pool : {"quick", "long", "spare"}) {
+        for (int index = 1; index <= InstancesOf(pool); ++index) {
           const Endpoint endpoint = Upstream(dc, pool, index);
           file << "  - {name: " << UpstreamName(dc, pool, index) << ", data_centre: dc" << dc
                << ", rack: r" << dc << "-" << index << ", pool: " << pool
