--- a/src/config.h
+++ b/src/config.h
@@ -163,6 +163,10 @@
 /// Milliseconds before long work that no slot could take is tried again.
 inline constexpr std::int64_t kLongRetryMs = 500;
 
+/// Milliseconds between two questions whether sent long work still runs. Three answers that it
+/// doesn't make the connection a silent one, long before the work's own limit.
+inline constexpr std::int64_t kLongProbeMs = 1000;
+
 /// Milliseconds between two looks at an adopted task.
 inline constexpr std::int64_t kAdoptPollMs = 200;
 
--- a/src/long_runner.cc
+++ b/src/long_runner.cc
@@ -3,6 +3,7 @@
 #include "long_runner.h"
 
 #include <algorithm>
+#include <future>
 
 #include "config.h"
 
@@ -373,8 +374,7 @@
     request.headers.push_back({"Idempotency-Key", item.accepted.key.str()});
   }
   const Milliseconds started = m_options.clock->Now();
-  const HttpOutcome outcome =
-      m_options.upstreams->CallOnce(grant.endpoint, request, service.run_timeout);
+  const HttpOutcome outcome = CallWithProbes(attempt, request, service.run_timeout);
   UpstreamReading reading = ReadOutcome(outcome, attempt.task.str());
   const bool checkpointed = reading.effect == UpstreamEffect::kDone &&
                             outcome.reply->Header("Task-State") == "checkpointed";
@@ -393,6 +393,26 @@
   Adopt(item, attempt, service);
 }
 
+HttpOutcome LongRunner::CallWithProbes(const AttemptStarted& attempt, const HttpRequest& request,
+                                       Milliseconds timeout) const {
+  UpstreamClient* upstreams = m_options.upstreams;
+  std::packaged_task<HttpOutcome()> call([upstreams, attempt, request, timeout] {
+    return upstreams->CallOnce(attempt.endpoint, request, timeout);
+  });
+  std::future<HttpOutcome> answer = call.get_future();
+  std::thread(std::move(call)).detach();
+  // A silent connection shows as a task that the upstream, asked on new connections, doesn't know
+  // or has finished.
+  for (int suspicious = 0; suspicious < kLostTaskLooks;) {
+    const auto status = answer.wait_for(Milliseconds(config::kLongProbeMs));
+    if (status == std::future_status::ready) return answer.get();
+    const HttpOutcome look = CallTask(attempt, "GET");
+    const bool runs = look.reply && look.reply->Header("Task-State") == "running";
+    suspicious = runs ? 0 : suspicious + 1;
+  }
+  return {.reply = std::nullopt, .failure = CallFailure::kTimeout, .detail = "silent connection"};
+}
+
 void LongRunner::NoteNotRun(const WorkHandle& handle, const SlotGrant& grant, SlotOutcome slot) {
   if (slot == SlotOutcome::kRefusedBusy) return Delay(handle);
   // Each attempt costs two appends, so another upstream is tried at once, but the same one only
--- a/src/long_runner.h
+++ b/src/long_runner.h
@@ -72,6 +72,10 @@
   bool RecordAttempt(const AttemptStarted& attempt);
   void CallUpstream(const WorkItem& item, const ServiceConfig& service, const SlotGrant& grant,
                     const AttemptStarted& attempt);
+  /// Sends the work once and gives the connection up when it has gone silent. The thread that waits
+  /// on it ends with the timeout and closes it.
+  HttpOutcome CallWithProbes(const AttemptStarted& attempt, const HttpRequest& request,
+                             Milliseconds timeout) const;
   void Adopt(const WorkItem& item, const AttemptStarted& attempt, const ServiceConfig& service);
   /// @returns whether the task's state settled the attempt.
   bool SettleByState(const AttemptStarted& attempt, const HttpReply& reply);
--- a/tests/long_work_test.cc
+++ b/tests/long_work_test.cc
@@ -175,6 +175,25 @@
   CHECK(CodeOf(deployment.Result(1, charge)) == Number(ResultCode::kUnknownEffect));
 }
 
+// Guards against a silent connection that holds long work until the run timeout of 30 s, and
+// against a charge that is sent again because its connection went silent.
+TEST_CASE("long work on a silent connection doesn't wait for its run timeout") {
+  LongDeployment deployment(
+      {.data_centres = 1, .upstreams_per_service = 2, .base_port = kBasePort + 50});
+  for (const char* service : {"render", "master"}) {
+    SetFaults(deployment.Upstream(1, "long", 1), "silent=1");
+    const bool both = std::string(service) == "master";
+    SetFaults(deployment.Upstream(1, "long", 2), both ? "silent=1" : "silent=0");
+    const std::string location = deployment.Accept(1, service, "10 x");
+    REQUIRE(Eventually([&] { return deployment.IsFinished(2, location); }, Milliseconds(20000)));
+    const ResultCode code = both ? ResultCode::kUnknownEffect : ResultCode::kOk;
+    CHECK(CodeOf(deployment.Result(2, location)) == Number(code));
+    CHECK(deployment.Runs(1) + deployment.Runs(2) == 1);
+    SetFaults(deployment.Upstream(1, "long", 1), "silent=0");
+    SetFaults(deployment.Upstream(1, "long", 2), "silent=0");
+  }
+}
+
 // Guards against long work that a planned stop cuts or delays until a fence for silence.
 TEST_CASE("a stopping entry hands its long work over") {
   LongDeployment deployment({.data_centres = 1, .base_port = kBasePort + 40});
