--- a/src/follower.cc
+++ b/src/follower.cc
@@ -1,23 +1,11 @@
 /// @file
 /// Follows the fleet stream and publishes immutable views.
-#include <charconv>
-
 #include "config.h"
 #include "endivewood_p.h"
+#include "events.h"
 #include "snapshot.h"
 
 namespace endivewood {
-namespace {
-
-/// @returns the offset in the text of a kOffsetExpired reason.
-std::uint64_t FirstOffsetOf(const Reason& reason) {
-  std::uint64_t offset = 0;
-  std::from_chars(reason.text.data(), reason.text.data() + reason.text.size(), offset);
-  return offset;
-}
-
-}  // namespace
-
 FleetFollower::FleetFollower(LogClient client, VerdictHandler on_verdict, FollowerOptions options)
     : m_client(std::move(client)),
       m_on_verdict(std::move(on_verdict)),
@@ -62,7 +50,7 @@
       m_first_retained = batch->first_offset;
       ApplyRecords(batch->records);
     } else if (reason.code == ResultCode::kOffsetExpired) {
-      Recover(FirstOffsetOf(reason));
+      Recover(FirstRetainedOf(reason));
     } else {
       Pause(Milliseconds(config::kFollowRetryMs));
     }
@@ -77,18 +65,9 @@
 }
 
 void FleetFollower::SearchSnapshot(std::uint64_t first_retained) {
-  SnapshotSearch search;
-  std::uint64_t next = first_retained;
-  while (!m_stopping) {
-    Reason reason;
-    const auto batch = m_client.Read("fleet", next, config::kFollowBatch, Milliseconds(0), &reason);
-    if (!batch) break;
-    for (const LogRecord& record : batch->records) search.Feed(record);
-    next = batch->next_offset;
-    if (batch->records.empty()) break;
-  }
-  const SnapshotSearch::Candidate* best = search.Best();
-  if (best == nullptr) {
+  Reason reason;
+  const auto best = FindFleetState(m_client, first_retained, &reason);
+  if (!best) {
     Pause(Milliseconds(config::kFollowRetryMs));
     return;
   }
@@ -96,6 +75,7 @@
   if (best->fold.View()->next_offset <= m_fold.View()->next_offset) return;
   m_fold = best->fold;
   m_marks = best->marks;
+  LogEvent(Event::kSnapshotRestored, {{"next_offset", m_fold.View()->next_offset}});
   m_kept.clear();
   m_kept_bytes = 0;
   Publish();
--- a/src/peers.cc
+++ b/src/peers.cc
@@ -3,6 +3,7 @@
 #include "peers.h"
 
 #include "config.h"
+#include "events.h"
 
 namespace endivewood {
 namespace {
@@ -320,6 +321,10 @@
 
 void PeerNode::Announce(const std::optional<PeerTransition>& transition) {
   if (!transition) return;
+  const Event event = transition->to == PeerState::kAlive  ? Event::kPeerConnected
+                      : transition->to == PeerState::kLeft ? Event::kPeerLeft
+                                                           : Event::kPeerLost;
+  LogEvent(event, {{"peer", transition->name}, {"state", PeerStateName(transition->to)}});
   if (transition->to == PeerState::kDead) CloseLinksOf(transition->name);
   if (m_handlers.on_transition) m_handlers.on_transition(*transition);
 }
--- a/src/snapshot.cc
+++ b/src/snapshot.cc
@@ -3,6 +3,7 @@
 #include "snapshot.h"
 
 #include <algorithm>
+#include <charconv>
 
 #include "codec.h"
 #include "config.h"
@@ -147,6 +148,29 @@
   return best == m_candidates.end() ? nullptr : &*best;
 }
 
+std::uint64_t FirstRetainedOf(const Reason& expired) {
+  std::uint64_t offset = 0;
+  std::from_chars(expired.text.data(), expired.text.data() + expired.text.size(), offset);
+  return offset;
+}
+
+std::optional<SnapshotSearch::Candidate> FindFleetState(const LogClient& log,
+                                                        std::uint64_t first_retained,
+                                                        Reason* reason) {
+  SnapshotSearch search;
+  std::uint64_t next = first_retained;
+  while (true) {
+    const auto batch = log.Read("fleet", next, config::kFollowBatch, Milliseconds(0), reason);
+    if (!batch) return std::nullopt;
+    if (batch->records.empty()) break;
+    for (const LogRecord& record : batch->records) search.Feed(record);
+    next = batch->next_offset;
+  }
+  if (search.Best() != nullptr) return *search.Best();
+  *reason = {.code = ResultCode::kOffsetExpired, .text = "no snapshot is retained"};
+  return std::nullopt;
+}
+
 bool SnapshotDue(const SnapshotInputs& inputs) {
   if (inputs.next_offset == 0) return false;
   const SnapshotMarks& marks = inputs.marks;
--- a/src/snapshot.h
+++ b/src/snapshot.h
@@ -29,6 +29,15 @@
   std::vector<Candidate> m_candidates;
 };
 
+/// @returns the first retained offset in the text of a kOffsetExpired reason.
+std::uint64_t FirstRetainedOf(const Reason& expired);
+
+/// Reads the retained records of the fleet stream and finds the state to begin with.
+/// @param reason receives that of a failed read, or kOffsetExpired when no snapshot is retained.
+std::optional<SnapshotSearch::Candidate> FindFleetState(const LogClient& log,
+                                                        std::uint64_t first_retained,
+                                                        Reason* reason);
+
 /// What an entry knows when it decides about a snapshot.
 struct SnapshotInputs {
   std::uint64_t next_offset = 0;
--- a/src/snapshot_author.cc
+++ b/src/snapshot_author.cc
@@ -3,6 +3,7 @@
 #include "snapshot_author.h"
 
 #include "config.h"
+#include "events.h"
 
 namespace endivewood {
 
@@ -55,7 +56,8 @@
       .change = SnapshotTaken{.covered = fold.View()->next_offset, .state = state}};
   // A lost answer needs no resolution: the schedule decides again from the stream itself.
   Reason reason;
-  m_client.Append("fleet", EncodeFleetRecord(record), &reason);
+  const auto offset = m_client.Append("fleet", EncodeFleetRecord(record), &reason);
+  if (offset) LogEvent(Event::kSnapshotTaken, {{"offset", *offset}, {"bytes", state.size()}});
 }
 
 }  // namespace endivewood
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -225,5 +225,23 @@
   CHECK(ask(3000).empty());
 }
 
+// Not a check: prints figures for docs/membership.md. Run with the argument [measure].
+TEST_CASE("bytes of heartbeats", "[.][measure]") {
+  constexpr int kSeconds = 6;
+  int case_number = 10;
+  for (const int count : {3, 6, 9, 12}) {
+    Cluster cluster(count, case_number++);
+    Node& node = *cluster.nodes.front();
+    std::this_thread::sleep_for(Milliseconds(1000));
+    const std::uint64_t sent = node.peers.stats().bytes_sent;
+    const std::uint64_t received = node.peers.stats().bytes_received;
+    std::this_thread::sleep_for(std::chrono::seconds(kSeconds));
+    const double sent_rate = static_cast<double>(node.peers.stats().bytes_sent - sent) / kSeconds;
+    const double received_rate =
+        static_cast<double>(node.peers.stats().bytes_received - received) / kSeconds;
+    WARN(count << " entries: " << sent_rate << " B/s sent, " << received_rate << " B/s received");
+  }
+}
+
 }  // namespace
 }  // namespace endivewood::testing
--- /dev/null
+++ b/tests/recovery_test.cc
@@ -0,0 +1,205 @@
+/// @file
+/// Recovery through separate processes: kills, outages, expired records, a cut-off data centre.
+#include "codec.h"
+#include "json.h"
+#include "process_fixture.h"
+
+namespace endivewood::testing {
+namespace {
+
+constexpr std::uint16_t kBasePort = 25100;
+
+/// The state dump of one entry.
+struct Dump {
+  std::uint64_t next_offset = 0;
+  std::uint64_t preset_version = 0;
+  std::string preset;
+  std::map<std::string, std::uint64_t> values;  ///< Values of the subsystems.
+};
+
+Dump DumpOf(const Deployment& deployment, int dc, int entry) {
+  Dump dump;
+  const HttpOutcome outcome = Get(deployment.Control(dc, entry), "/dump");
+  const auto json = outcome.reply ? DecodeJson(outcome.reply->body) : std::nullopt;
+  if (!json) return dump;
+  dump.next_offset = (*json)["next_offset"].Number();
+  dump.preset_version = (*json)["preset_version"].Number();
+  dump.preset = (*json)["preset"].Text();
+  const auto* values = std::get_if<JsonValue::Array>(&(*json)["subsystems"].data());
+  if (values == nullptr) return dump;
+  for (const JsonValue& value : *values) {
+    dump.values[value["name"].Text()] = value["value"].Number();
+  }
+  return dump;
+}
+
+/// Sets switches of the platform stand-in. The HTTP client sends the query of GET requests only.
+void Fault(const Deployment& deployment, const std::string& query) {
+  const HttpOutcome outcome = HttpCall(deployment.PlatformEndpoint(),
+                                       {.path = "/faults", .query = query}, Milliseconds(5000));
+  REQUIRE(outcome.reply);
+  REQUIRE(outcome.reply->status == 200);
+}
+
+bool AllShow(const Deployment& deployment, const std::string& preset, std::uint64_t version) {
+  for (int dc = 1; dc <= deployment.options().data_centres; ++dc) {
+    for (int entry = 1; entry <= deployment.options().entries_per_data_centre; ++entry) {
+      const Dump dump = DumpOf(deployment, dc, entry);
+      if (dump.preset != preset || dump.preset_version < version) return false;
+    }
+  }
+  return true;
+}
+
+bool PeersConnected(const Deployment& deployment, int dc, int entry) {
+  const Dump dump = DumpOf(deployment, dc, entry);
+  std::uint64_t alive = 0;
+  for (const auto& [name, value] : dump.values) {
+    if (name.starts_with("peer entry")) alive += value == 1 ? 1 : 0;
+  }
+  const auto& options = deployment.options();
+  return alive + 1 ==
+         static_cast<std::uint64_t>(options.data_centres * options.entries_per_data_centre);
+}
+
+// Guards against a fresh entry that needs the platform, and against a killed entry that the others
+// still count on. The design page replaces entries at any time; its 2 s for urgent work bounds the
+// detection.
+TEST_CASE("a fresh entry serves during a platform outage and a killed one is noticed") {
+  Deployment deployment({.data_centres = 2, .base_port = kBasePort});
+  REQUIRE(deployment.Operate({"publish", deployment.FleetFile()}) == 0);
+  REQUIRE(deployment.Operate({"switch", "peak"}) == 0);
+  REQUIRE(Eventually([&] { return AllShow(deployment, "peak", 1); }));
+  REQUIRE(Eventually([&] { return PeersConnected(deployment, 1, 2); }));
+  const Dump before = DumpOf(deployment, 1, 2);
+
+  Fault(deployment, "outage=1");
+  deployment.ProcessOf(Deployment::EntryName(1, 1)).Signal(SIGKILL);
+  const auto noticed = [&] {
+    return DumpOf(deployment, 1, 2).values["peer entry-1-1"] != 1 &&
+           DumpOf(deployment, 2, 1).values["peer entry-1-1"] != 1;
+  };
+  CHECK(Eventually(noticed, Milliseconds(2000)));
+
+  deployment.RestartEntry(1, 1);
+  REQUIRE(Eventually([&] { return DumpOf(deployment, 1, 1).next_offset == before.next_offset; }));
+  CHECK(DumpOf(deployment, 1, 1).preset == "peak");
+  const HttpOutcome answer = Post(deployment.Callers(1, 1), "/v1/services/quick", "1 fresh");
+  REQUIRE(answer.reply);
+  CHECK(answer.reply->status == 200);
+  CHECK(answer.reply->body == "done fresh");
+  CHECK(Eventually([&] { return PeersConnected(deployment, 1, 2); }));
+}
+
+// Guards against a change that doesn't reach a data centre that lost only the platform within the
+// 2 s of the design page, and against views that go back when it returns.
+TEST_CASE("a data centre without the platform receives a preset from its peers") {
+  Deployment deployment({.data_centres = 3, .base_port = kBasePort + 10});
+  REQUIRE(deployment.Operate({"publish", deployment.FleetFile()}) == 0);
+  REQUIRE(Eventually([&] { return DumpOf(deployment, 2, 1).next_offset > 0; }));
+  REQUIRE(Eventually([&] { return PeersConnected(deployment, 2, 1); }));
+  REQUIRE(Eventually([&] { return PeersConnected(deployment, 2, 2); }));
+  Fault(deployment, "refuse_data_centre=dc2");
+  std::uint64_t version = DumpOf(deployment, 1, 1).preset_version;
+  for (const char* preset : {"peak", "ordinary", "peak"}) {
+    REQUIRE(deployment.Operate({"switch", preset}) == 0);
+    ++version;
+    CHECK(Eventually([&] { return AllShow(deployment, preset, version); }, Milliseconds(2000)));
+  }
+  CHECK(DumpOf(deployment, 2, 1).values["record batches from peers"] > 0);
+  Fault(deployment, "refuse_data_centre=");
+  std::uint64_t offset = DumpOf(deployment, 2, 1).next_offset;
+  for (int sample = 0; sample < 20; ++sample) {
+    const Dump dump = DumpOf(deployment, 2, 1);
+    CHECK(dump.next_offset >= offset);
+    CHECK(dump.preset_version >= version);
+    offset = dump.next_offset;
+  }
+}
+
+// Guards against an entry that can't start once the stream's first records have expired, when all
+// entries are gone and only the log has the state.
+TEST_CASE("entries restart from a snapshot after records expired") {
+  Deployment deployment(
+      {.data_centres = 1, .entries_per_data_centre = 2, .base_port = kBasePort + 20});
+  REQUIRE(deployment.Operate({"publish", deployment.FleetFile()}) == 0);
+  REQUIRE(deployment.Operate({"switch", "peak"}) == 0);
+  REQUIRE(Eventually([&] { return AllShow(deployment, "peak", 1); }));
+  Fault(deployment, "stream=fleet&expire_below=1");
+  const auto snapshots = [&] {
+    const LogClient log(deployment.PlatformEndpoint(), Incarnation("test"));
+    Reason reason;
+    const auto batch = log.Read("fleet", 1, 100, Milliseconds(0), &reason);
+    std::vector<std::uint64_t> offsets;
+    for (const LogRecord& record : batch ? batch->records : std::vector<LogRecord>()) {
+      const auto decoded = DecodeFleetRecord(record.payload);
+      if (decoded && std::holds_alternative<SnapshotTaken>(decoded->change)) {
+        offsets.push_back(record.offset);
+      }
+    }
+    return offsets;
+  };
+  REQUIRE(Eventually([&] { return snapshots().size() >= 2; }, Milliseconds(20000)));
+  Fault(deployment, "stream=fleet&expire_below=" + std::to_string(snapshots()[0]));
+  for (const int entry : {1, 2}) {
+    deployment.ProcessOf(Deployment::EntryName(1, entry)).Signal(SIGKILL);
+  }
+  deployment.RestartEntry(1, 1);
+  CHECK(Eventually([&] { return DumpOf(deployment, 1, 1).preset == "peak"; }));
+  CHECK(Post(deployment.Callers(1, 1), "/v1/services/quick", "1 x").reply->status == 200);
+  REQUIRE(deployment.Operate({"switch", "ordinary"}) == 0);
+  CHECK(Eventually([&] { return DumpOf(deployment, 1, 1).preset == "ordinary"; }));
+}
+
+// Not a check: prints figures for docs/membership.md. Run with the argument [measure].
+TEST_CASE("time until a preset is in force in nine entries", "[.][measure]") {
+  constexpr int kSwitches = 40;
+  Deployment deployment(
+      {.data_centres = 3, .entries_per_data_centre = 3, .base_port = kBasePort + 30});
+  REQUIRE(deployment.Operate({"publish", deployment.FleetFile()}) == 0);
+  REQUIRE(Eventually([&] { return PeersConnected(deployment, 2, 1); }));
+  for (const char* refused : {"", "dc2"}) {
+    Fault(deployment, std::string("refuse_data_centre=") + refused);
+    std::vector<double> times;
+    for (int count = 0; count < kSwitches; ++count) {
+      const std::uint64_t version = DumpOf(deployment, 1, 1).preset_version + 1;
+      const std::string preset = version % 2 == 0 ? "peak" : "ordinary";
+      const auto begin = std::chrono::steady_clock::now();
+      REQUIRE(deployment.Operate({"switch", preset}) == 0);
+      REQUIRE(Eventually([&] { return AllShow(deployment, preset, version); }));
+      const std::chrono::duration<double, std::milli> time =
+          std::chrono::steady_clock::now() - begin;
+      times.push_back(time.count());
+    }
+    std::sort(times.begin(), times.end());
+    WARN("refused: " << refused << " p50 ms: " << times[kSwitches / 2]
+                     << " max ms: " << times.back());
+  }
+}
+
+// Not a check: prints figures for docs/membership.md. Run with the argument [measure].
+TEST_CASE("detection time of a killed and of a paused entry among nine", "[.][measure]") {
+  Deployment deployment(
+      {.data_centres = 3, .entries_per_data_centre = 3, .base_port = kBasePort + 40});
+  const std::string name = Deployment::EntryName(1, 1);
+  for (const int signal : {SIGKILL, SIGSTOP}) {
+    std::vector<double> times;
+    for (int round = 0; round < 7; ++round) {
+      REQUIRE(Eventually([&] { return PeersConnected(deployment, 3, 3); }));
+      const auto begin = std::chrono::steady_clock::now();
+      deployment.ProcessOf(name).Signal(signal);
+      REQUIRE(Eventually([&] { return DumpOf(deployment, 3, 3).values["peer " + name] != 1; }));
+      const std::chrono::duration<double, std::milli> time =
+          std::chrono::steady_clock::now() - begin;
+      times.push_back(time.count());
+      if (signal == SIGSTOP) deployment.ProcessOf(name).Signal(SIGCONT);
+      if (signal == SIGKILL) deployment.RestartEntry(1, 1);
+    }
+    std::sort(times.begin(), times.end());
+    WARN((signal == SIGKILL ? "killed" : "paused")
+         << ": p50 ms " << times[3] << ", max ms " << times.back());
+  }
+}
+
+}  // namespace
+}  // namespace endivewood::testing
--- a/tests/snapshot_test.cc
+++ b/tests/snapshot_test.cc
@@ -116,5 +116,33 @@
   CHECK(authors(config::kSnapshotRankMs) == 2);
 }
 
+// Not a check: prints figures. Run with the argument [measure].
+TEST_CASE("size and time of snapshots", "[.][measure]") {
+  constexpr int kRounds = 20;
+  const auto milliseconds = [](const std::function<void()>& action) {
+    const auto begin = std::chrono::steady_clock::now();
+    for (int round = 0; round < kRounds; ++round) action();
+    const std::chrono::duration<double, std::milli> time = std::chrono::steady_clock::now() - begin;
+    return time.count() / kRounds;
+  };
+  for (const int instances : {50, 200, 450, 890}) {
+    for (const std::size_t records : {2, 4200}) {
+      FleetFold fold = FoldOf({RandomStream(1, 1, instances).front()});
+      for (std::size_t offset = 1; offset < records; ++offset) {
+        fold.Apply(offset, EncodeFleetRecord({.id = RecordId(RandomHex128()),
+                                              .change = PresetSwitched{PresetName("peak")}}));
+      }
+      const std::string state = fold.Encode();
+      const double encode = milliseconds([&] { fold.Encode(); });
+      const double decode = milliseconds([&] {
+        FleetFold restored;
+        REQUIRE(restored.Restore(state));
+      });
+      WARN(instances << " instances, " << records << " records: " << state.size()
+                     << " bytes, encode " << encode << " ms, decode " << decode << " ms");
+    }
+  }
+}
+
 }  // namespace
 }  // namespace endivewood::testing
--- a/tools/endivewood.cc
+++ b/tools/endivewood.cc
@@ -5,6 +5,7 @@
 #include <iostream>
 
 #include "endivewood_p.h"
+#include "snapshot.h"
 
 namespace endivewood {
 namespace {
@@ -45,9 +46,19 @@
     return kExitUnreachable;
   }
 
+  bool BeginAtSnapshot(Reason* reason) {
+    const auto state = FindFleetState(m_client, FirstRetainedOf(*reason), reason);
+    if (!state) return false;
+    m_fold = state->fold;
+    m_next = m_fold.View()->next_offset;
+    return true;
+  }
+
   bool CatchUp(Reason* reason) {
     while (true) {
       const auto batch = m_client.Read("fleet", m_next, kReadBatch, Milliseconds(0), reason);
+      const bool expired = !batch && reason->code == ResultCode::kOffsetExpired;
+      if (expired && BeginAtSnapshot(reason)) continue;
       if (!batch) return false;
       for (const LogRecord& record : batch->records) {
         m_verdicts.push_back(m_fold.Apply(record.offset, record.payload));
