--- a/src/entry.h
+++ b/src/entry.h
@@ -2,44 +2,77 @@
 /// The request path of an entry instance.
 #pragma once
 
+#include "claim_log.h"
+#include "forward.h"
+#include "long_runner.h"
 #include "metrics.h"
 #include "peers.h"
+#include "request_check.h"
 #include "snapshot_author.h"
 
 namespace endivewood {
 
+/// Counts requests in progress and refuses those above a limit. Thread-safe.
+class RequestLimiter {
+ public:
+  bool Enter(const ServiceName& service);
+  void Leave(const ServiceName& service);
+
+  /// Lets no further request in.
+  void Close();
+  bool closed() const { return m_closed; }
+  int in_progress() const { return m_total; }
+
+ private:
+  std::mutex m_mutex;
+  std::atomic<bool> m_closed{false};
+  std::atomic<int> m_total{0};
+  std::map<ServiceName, int> m_by_service;
+};
+
 /// An entry process: caller listener, control listener and fleet follower.
 class Entry {
  public:
   explicit Entry(const ProcessSettings& settings);
 
-  /// Stops taking connections and answers the requests in progress.
-  void Stop();
+  /// Stops taking requests and answers those in progress.
+  /// @param limit time for the requests in progress.
+  /// @param cut_now ends the wait early when it becomes true.
+  /// @attention The process must then end without destroying the entry: threads that run long work
+  /// still wait for upstreams.
+  /// @returns the number of requests that were not answered.
+  int Stop(Milliseconds limit, const std::atomic<bool>& cut_now);
 
  private:
   HttpReply HandleCaller(const HttpRequest& request);
+  HttpReply HandleService(const HttpRequest& request);
+  HttpReply Serve(const ServiceRequest& request, const ServiceConfig& service);
   HttpReply HandleControl(const HttpRequest& request);
+  std::vector<DumpValue> DumpValues(std::vector<DumpValue> values) const;
   HttpReply HandleResult(const HttpRequest& request);
-  HttpReply AcceptLong(const HttpRequest& request, const ServiceConfig& service);
-  HttpReply Forward(const HttpRequest& request, const ServiceConfig& service);
-
-  /// A long request that callers ask for by its handle.
-  struct LongRequest {
-    std::string caller_token;
-    std::optional<HttpReply> reply;
-  };
+  HttpReply AcceptLong(const ServiceRequest& request, const ServiceConfig& service);
+  HttpReply RunClaimed(const ServiceRequest& request, const ServiceConfig& service);
+  WorkOutcome Run(const ServiceRequest& request, const ServiceConfig& service);
+  void FollowView();
+  /// @returns the latest view, once the slot queue has it too.
+  std::shared_ptr<const FleetView> ServingView() const;
 
   ProcessSettings m_settings;
   Incarnation m_incarnation;
+  Clock m_clock;
   Metrics m_metrics;
-  Clock m_peer_clock;
   FleetFollower m_follower;
   PeerNode m_peers;
   SnapshotAuthor m_snapshots;
-  std::atomic<std::uint64_t> m_next_upstream{0};
-  std::mutex m_mutex;
-  std::map<std::string, LongRequest> m_long_requests;
-  std::vector<std::thread> m_long_threads;
+  ClaimLog m_claims;
+  SlotAllocator m_slots;
+  UpstreamClient m_upstreams;
+  Forwarder m_forwarder;
+  LongRunner m_long;
+  RequestLimiter m_limiter;
+  std::atomic<bool> m_stopping{false};
+  std::atomic<std::uint64_t> m_slots_offset{0};  ///< Offset of the view that the queue has.
+  std::thread m_view_thread;
   HttpServer m_caller_server;
   HttpServer m_control_server;
 };
