--- a/tools/endivewood/fleet_operator.cc
+++ b/tools/endivewood/fleet_operator.cc
@@ -80,10 +80,7 @@
   while (true) {
     const auto batch = m_client.Read("fleet", m_next, config::kFollowBatch, wait, reason);
     if (!batch && reason->code == ResultCode::kOffsetExpired) {
-      std::uint64_t first = 0;
-      const std::string& text = reason->text;
-      std::from_chars(text.data(), text.data() + text.size(), first);
-      if (!StartFromSnapshot(first, reason)) return false;
+      if (!StartFromSnapshot(FirstRetainedOf(*reason), reason)) return false;
       continue;
     }
     if (!batch) return false;
@@ -103,22 +100,8 @@
 }
 
 bool FleetOperator::StartFromSnapshot(std::uint64_t first_retained, Reason* reason) {
-  SnapshotSearch search;
-  std::uint64_t next = first_retained;
-  while (true) {
-    const auto batch = m_client.Read("fleet", next, config::kFollowBatch, Milliseconds(0), reason);
-    if (!batch) return false;
-    for (const LogRecord& record : batch->records) search.Feed(record);
-    next = batch->next_offset;
-    if (batch->records.empty()) break;
-  }
-  const SnapshotSearch::Candidate* best = search.Best();
-  if (best == nullptr) {
-    *reason = {.code = ResultCode::kOffsetExpired,
-               .text = "the stream holds no snapshot from offset " +
-                       std::to_string(first_retained) + " on"};
-    return false;
-  }
+  const auto best = FindFleetState(m_client, first_retained, reason);
+  if (!best) return false;
   m_fold = best->fold;
   m_next = m_fold.View()->next_offset;
   return true;
