--- a/src/entry.cc
+++ b/src/entry.cc
@@ -69,9 +69,9 @@
       m_snapshots(LogClient(settings.platform, m_incarnation, settings.data_centre), m_incarnation,
                   &m_follower, &m_peers, &m_clock),
       m_claims(LogClient(settings.platform, m_incarnation, settings.data_centre), &m_clock),
-      m_slots(m_clock, {.data_centre = settings.data_centre,
-                        .on_checkpoint =
-                            [this](const SlotGrant& grant) { m_long.RequestCheckpoint(grant); }}),
+      m_slots(
+          m_clock, &m_peers,
+          {.on_checkpoint = [this](const SlotGrant& grant) { m_long.RequestCheckpoint(grant); }}),
       m_upstreams(&m_clock),
       m_forwarder(&m_slots, &m_upstreams, &m_clock),
       m_long({.client = LogClient(settings.platform, m_incarnation, settings.data_centre),
@@ -87,7 +87,7 @@
                       [this](const HttpRequest& request) { return HandleCaller(request); }),
       m_control_server({.endpoint = settings.control, .max_threads = kControlThreads},
                        [this](const HttpRequest& request) { return HandleControl(request); }) {
-  m_peers.Start();
+  m_peers.Start(m_slots.Handlers());
 }
 
 int Entry::Stop(Milliseconds limit, const std::atomic<bool>& cut_now) {
@@ -103,6 +103,7 @@
   m_claims.Stop();
   m_slots.Stop();
   m_stopping = true;
+  if (m_view_thread.joinable()) m_view_thread.join();
   m_control_server.Stop();
   m_snapshots.Stop();
   m_peers.Stop();
@@ -209,27 +210,32 @@
   return reply;
 }
 
-std::vector<DumpValue> Entry::DumpValues(std::vector<DumpValue> values) const {
-  for (DumpValue& value : m_peers.DumpValues()) values.push_back(std::move(value));
-  return values;
-}
-
 HttpReply Entry::HandleControl(const HttpRequest& request) {
   if (request.path == "/health" && m_limiter.closed()) return Answer(ResultCode::kNotRunStopping);
+  return AnswerControl(request, {.settings = m_settings,
+                                 .incarnation = m_incarnation,
+                                 .follower = m_follower,
+                                 .metrics = m_metrics,
+                                 .subsystems = DumpValues()});
+}
+
+std::vector<DumpValue> Entry::DumpValues() const {
   const ClaimStats claims = m_claims.Stats();
+  const SlotAllocatorStats slots = m_slots.AllocatorStats();
   const auto number = [](auto value) { return static_cast<std::int64_t>(value); };
-  return AnswerControl(request,
-                       {.settings = m_settings,
-                        .incarnation = m_incarnation,
-                        .follower = m_follower,
-                        .metrics = m_metrics,
-                        .subsystems = DumpValues({{"requests", m_limiter.in_progress()},
-                                                  {"claim_appends", number(claims.appends)},
-                                                  {"claims", number(claims.claims)},
-                                                  {"long_open", number(m_long.OpenCount())},
-                                                  {"claim_keys", number(claims.keys)},
-                                                  {"fences", number(claims.fences)},
-                                                  {"withdrawals", number(claims.withdrawals)}})});
+  std::vector<DumpValue> values = {{"requests", m_limiter.in_progress()},
+                                   {"claim_appends", number(claims.appends)},
+                                   {"claims", number(claims.claims)},
+                                   {"long_open", number(m_long.OpenCount())},
+                                   {"claim_keys", number(claims.keys)},
+                                   {"fences", number(claims.fences)},
+                                   {"withdrawals", number(claims.withdrawals)},
+                                   {"slots_waiting_short", number(slots.waiting_short)},
+                                   {"slots_waiting_long", number(slots.waiting_long)},
+                                   {"slots_in_use", number(slots.in_use)}};
+  const std::vector<DumpValue> peers = m_peers.DumpValues();
+  values.insert(values.end(), peers.begin(), peers.end());
+  return values;
 }
 
 }  // namespace endivewood
--- a/src/entry.h
+++ b/src/entry.h
@@ -8,6 +8,8 @@
 #include "metrics.h"
 #include "peers.h"
 #include "request_check.h"
+#include "settings.h"
+#include "slot_router.h"
 #include "snapshot_author.h"
 
 namespace endivewood {
@@ -48,7 +50,7 @@
   HttpReply HandleService(const HttpRequest& request);
   HttpReply Serve(const ServiceRequest& request, const ServiceConfig& service);
   HttpReply HandleControl(const HttpRequest& request);
-  std::vector<DumpValue> DumpValues(std::vector<DumpValue> values) const;
+  std::vector<DumpValue> DumpValues() const;
   HttpReply HandleResult(const HttpRequest& request);
   HttpReply AcceptLong(const ServiceRequest& request, const ServiceConfig& service);
   HttpReply RunClaimed(const ServiceRequest& request, const ServiceConfig& service);
@@ -61,17 +63,17 @@
   Incarnation m_incarnation;
   Clock m_clock;
   Metrics m_metrics;
+  std::atomic<bool> m_stopping{false};
+  std::atomic<std::uint64_t> m_slots_offset{0};  ///< Offset of the view that the queue has.
   FleetFollower m_follower;
   PeerNode m_peers;
   SnapshotAuthor m_snapshots;
   ClaimLog m_claims;
-  SlotAllocator m_slots;
+  SlotRouter m_slots;
   UpstreamClient m_upstreams;
   Forwarder m_forwarder;
   LongRunner m_long;
   RequestLimiter m_limiter;
-  std::atomic<bool> m_stopping{false};
-  std::atomic<std::uint64_t> m_slots_offset{0};  ///< Offset of the view that the queue has.
   std::thread m_view_thread;
   HttpServer m_caller_server;
   HttpServer m_control_server;
