--- a/src/entry.h
+++ b/src/entry.h
@@ -61,6 +61,8 @@
   Incarnation m_incarnation;
   Clock m_clock;
   Metrics m_metrics;
+  std::atomic<bool> m_stopping{false};
+  std::atomic<std::uint64_t> m_slots_offset{0};  ///< Offset of the view that the queue has.
   FleetFollower m_follower;
   PeerNode m_peers;
   SnapshotAuthor m_snapshots;
@@ -70,7 +72,6 @@
   Forwarder m_forwarder;
   LongRunner m_long;
   RequestLimiter m_limiter;
-  std::atomic<bool> m_stopping{false};
   std::thread m_view_thread;
   HttpServer m_caller_server;
   HttpServer m_control_server;
