--- a/daemons/endivewood_entry.cc
+++ b/daemons/endivewood_entry.cc
@@ -2,6 +2,7 @@
 /// endivewood-entry: the request path on an entry instance.
 #include <tclap/CmdLine.h>
 
+#include <cstdlib>
 #include <iostream>
 
 #include "entry.h"
@@ -10,6 +11,7 @@
 namespace {
 
 constexpr int kExitInvalidSettings = 2;
+constexpr int kExitCutRequests = 3;
 
 int Main(int argc, char** argv) {
   TCLAP::CmdLine command("Request path of endivewood", ' ', kVersion);
@@ -34,9 +36,15 @@
   LogEvent(Event::kProcessStarted, {{"callers", settings->callers}});
   WaitForStopSignal();
   LogEvent(Event::kProcessStopping);
-  entry.Stop();
-  LogEvent(Event::kProcessStopped);
-  return 0;
+  std::atomic<bool> cut_now{false};
+  std::thread second_signal([&] {
+    WaitForStopSignal();
+    cut_now = true;
+  });
+  const int cut = entry.Stop(settings->limits.stop_timeout, cut_now);
+  LogEvent(Event::kProcessStopped, {{"requests_cut", cut}});
+  // Threads that wait for upstreams or for a second signal still use the entry.
+  std::quick_exit(cut > 0 ? kExitCutRequests : 0);
 }
 
 }  // namespace
--- a/src/config.h
+++ b/src/config.h
@@ -144,6 +144,58 @@
 /// Requests for a slot that one peer may have waiting, as many as a caller listener has threads.
 inline constexpr std::size_t kMaxRemoteAcquires = 600;
 
+/// Milliseconds for which the result of long work can be asked for; longer than a key can be used,
+/// so that a retried request finds the first one.
+inline constexpr std::int64_t kLongResultRetentionMs = 3600000;
+
+/// Milliseconds after which open long work is recorded again, before its records expire.
+inline constexpr std::int64_t kLongRenewMs = 300000;
+
+/// Threads that run long work at an entry; each holds one upstream slot at a time.
+inline constexpr int kLongRunners = 64;
+
+/// Runners that one service may hold, so that its full pool doesn't stop the long work of others.
+inline constexpr int kLongRunnersPerService = 32;
+
+/// Open long work in all entries together above which no more is accepted.
+inline constexpr std::size_t kMaxOpenLongWork = 5000;
+
+/// Milliseconds before long work that no slot could take is tried again.
+inline constexpr std::int64_t kLongRetryMs = 500;
+
+/// Milliseconds between two looks at an adopted task.
+inline constexpr std::int64_t kAdoptPollMs = 200;
+
+/// Requests of callers in progress at an entry. The remaining threads of the listener answer
+/// refusals and polls for results.
+inline constexpr int kMaxRequestsInProgress = 500;
+
+/// Requests of one service in progress at an entry, so that no service can take every thread.
+inline constexpr int kMaxRequestsPerService = 250;
+
+/// Milliseconds that a caller may set in Deadline-Ms at most.
+inline constexpr std::int64_t kMaxDeadlineMs = 86400000;
+
+/// Calls of one idempotent request that may fail. Each goes to another upstream.
+inline constexpr int kMaxFailedCalls = 3;
+
+/// Calls of one request that upstreams may refuse before it is refused as overload.
+inline constexpr int kMaxRefusedCalls = 50;
+
+/// Milliseconds after which an idle connection to an upstream is closed. Below the keep-alive
+/// timeout of upstreams, so that few reused connections turn out closed.
+inline constexpr std::int64_t kUpstreamIdleMs = 10000;
+
+/// Idle connections kept to one upstream, which accepts 64 from all entries together.
+inline constexpr std::size_t kUpstreamIdleConnections = 8;
+
+/// Milliseconds between two looks at the fleet view for the slot allocator.
+inline constexpr std::int64_t kViewPollMs = 20;
+
+/// Milliseconds that a graceful stop waits for the requests in progress: the longest usual run
+/// timeout and queue deadline.
+inline constexpr std::int64_t kStopLimitMs = 35000;
+
 /// Requests that wait in one queue. At the smallest pool of a data centre, 16 slots with work of
 /// 100 ms, a longer queue lasts more than 6 s, which is past every usual deadline.
 inline constexpr std::size_t kQueueLimit = 1000;
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -186,9 +186,11 @@
 HttpServer::~HttpServer() { Stop(); }
 
 void HttpServer::Stop() {
-  if (!m_impl->thread.joinable()) return;
+  if (!m_impl) return;
   m_impl->loop.exit();
   m_impl->thread.join();
+  // The end of cxxtools' server waits for its threads, which write the last answers.
+  m_impl.reset();
 }
 
 }  // namespace endivewood
--- a/src/settings.h
+++ b/src/settings.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "config.h"
 #include "events.h"
 
 namespace endivewood {
@@ -27,7 +28,8 @@
   std::size_t queue_length = 1000;  ///< Requests that wait for one service.
   std::size_t body_bytes = 1 << 20;
   Milliseconds platform_timeout{2000};
-  Milliseconds stop_timeout{30000};  ///< For the requests in progress when the process stops.
+  Milliseconds stop_timeout{
+      config::kStopLimitMs};  ///< For the requests in progress when the process stops.
 
   bool operator==(const ProcessLimits&) const = default;
 };
