--- a/daemons/endivewood_entry.cc
+++ b/daemons/endivewood_entry.cc
@@ -42,7 +42,7 @@
     cut_now = true;
   });
   const int cut = entry.Stop(settings->limits.stop_timeout, cut_now);
-  LogEvent(Event::kProcessStopped, {{"requests_cut", cut}});
+  LogEvent(Event::kProcessStopped, {{"cut", cut}});
   // Threads that wait for upstreams or for a second signal still use the entry.
   std::quick_exit(cut > 0 ? kExitCutRequests : 0);
 }
--- a/src/entry.h
+++ b/src/entry.h
@@ -9,6 +9,8 @@
 #include "metrics.h"
 #include "request_check.h"
 #include "settings.h"
+#include "slot_router.h"
+#include "snapshot_author.h"
 
 namespace endivewood {
 
@@ -48,6 +50,7 @@
   HttpReply HandleService(const HttpRequest& request);
   HttpReply Serve(const ServiceRequest& request, const ServiceConfig& service);
   HttpReply HandleControl(const HttpRequest& request);
+  std::vector<DumpValue> DumpValues() const;
   HttpReply HandleResult(const HttpRequest& request);
   HttpReply AcceptLong(const ServiceRequest& request, const ServiceConfig& service);
   HttpReply RunClaimed(const ServiceRequest& request, const ServiceConfig& service);
@@ -59,8 +62,10 @@
   Clock m_clock;
   Metrics m_metrics;
   FleetFollower m_follower;
+  PeerNode m_peers;
+  SnapshotAuthor m_snapshots;
   ClaimLog m_claims;
-  SlotAllocator m_slots;
+  SlotRouter m_slots;
   UpstreamClient m_upstreams;
   Forwarder m_forwarder;
   LongRunner m_long;
--- a/src/forward.cc
+++ b/src/forward.cc
@@ -40,7 +40,7 @@
   std::vector<InstanceName> m_failed_on;
 };
 
-Forwarder::Forwarder(SlotAllocator* slots, UpstreamClient* client, const Clock* clock)
+Forwarder::Forwarder(SlotRouter* slots, UpstreamClient* client, const Clock* clock)
     : m_slots(slots), m_client(client), m_clock(clock) {}
 
 WorkOutcome Forwarder::Run(const WorkRequest& work) {
--- a/src/forward.h
+++ b/src/forward.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "retry.h"
-#include "slot_allocator.h"
+#include "slot_router.h"
 #include "upstream_client.h"
 
 namespace endivewood {
@@ -27,8 +27,8 @@
 /// Runs requests. Thread-safe.
 class Forwarder {
  public:
-  /// @param slots where grants come from; a remote queue holder plugs in here.
-  Forwarder(SlotAllocator* slots, UpstreamClient* client, const Clock* clock);
+  /// @param slots where grants come from.
+  Forwarder(SlotRouter* slots, UpstreamClient* client, const Clock* clock);
 
   /// Blocks until the work is done, refused or failed.
   WorkOutcome Run(const WorkRequest& work);
@@ -42,7 +42,7 @@
                                        const Attempts& attempts, WorkOutcome* outcome);
   bool MayRetry(const ServiceName& service);
 
-  SlotAllocator* m_slots;
+  SlotRouter* m_slots;
   UpstreamClient* m_client;
   const Clock* m_clock;
   std::mutex m_mutex;
--- a/tests/process_fixture.h
+++ b/tests/process_fixture.h
@@ -12,6 +12,7 @@
 #include <fstream>
 
 #include "endivewood_p.h"
+#include "eventually.h"
 
 extern char** environ;
 
@@ -56,17 +57,6 @@
   return Process(program, std::move(arguments)).Wait();
 }
 
-/// Polls a condition for at most `limit`.
-inline bool Eventually(const std::function<bool()>& condition,
-                       Milliseconds limit = Milliseconds(10000)) {
-  const auto end = std::chrono::steady_clock::now() + limit;
-  while (std::chrono::steady_clock::now() < end) {
-    if (condition()) return true;
-    std::this_thread::sleep_for(Milliseconds(20));
-  }
-  return condition();
-}
-
 inline HttpOutcome Get(const Endpoint& peer, const std::string& path) {
   return HttpCall(peer, {.method = "GET", .path = path}, Milliseconds(5000));
 }
@@ -202,6 +192,7 @@
          << "services:\n  - {name: quick, pool: quick, class: short}\n"
          << "  - {name: charge, pool: quick, class: short, idempotent: false}\n"
          << "  - {name: render, pool: long, class: long}\n"
+         << "  - {name: master, pool: long, class: long, idempotent: false}\n"
          << "presets:\n  - {name: ordinary, targets: {quick: " << per_pool << ", long: " << per_pool
          << "}}\n"
          << "  - {name: peak, targets: {quick: " << per_pool << ", long: " << per_pool << "}}\n"
