--- a/daemons/endivewood_entry.cc
+++ b/daemons/endivewood_entry.cc
@@ -5,7 +5,6 @@
 #include <cstdlib>
 #include <iostream>
 
-#include "config.h"
 #include "entry.h"
 #include "events.h"
 
@@ -43,7 +42,7 @@
     WaitForStopSignal();
     cut_now = true;
   });
-  const int cut = entry.Stop(Milliseconds(config::kStopLimitMs), cut_now);
+  const int cut = entry.Stop(settings->limits.stop_timeout, cut_now);
   LogEvent(Event::kProcessStopped, {{"cut", cut}});
   // Threads that wait for upstreams or for a second signal still use the entry.
   std::quick_exit(cut > 0 ? kExitCutRequests : 0);
