Name a test constant as the lint rules ask

Cause: clang-tidy asks for lower case names of variables that are not constexpr; tests/upstream_client_test.cc had kRequest.

Change: renamed to work_request.

Measured: build/bin/upstream_client_test: passes.

Conclusion: no change of behaviour.

--- a/tests/upstream_client_test.cc
+++ b/tests/upstream_client_test.cc
@@ -70,7 +70,7 @@
   std::vector<std::thread> m_threads;
 };
 
-const HttpRequest kRequest{
+const HttpRequest work_request{
     .method = "POST", .path = "/work", .query = "", .headers = {}, .body = "body"};
 constexpr Milliseconds kTimeout{5000};
 
@@ -81,8 +81,8 @@
   ClosingServer server(kPort, 2, true);
   UpstreamClient client(&clock);
   const Endpoint peer{.address = "127.0.0.1", .port = kPort};
-  REQUIRE(client.CallRepeatable(peer, kRequest, kTimeout).reply);
-  REQUIRE(client.CallOnce(peer, kRequest, kTimeout).reply);
+  REQUIRE(client.CallRepeatable(peer, work_request, kTimeout).reply);
+  REQUIRE(client.CallOnce(peer, work_request, kTimeout).reply);
   CHECK(server.requests() == 2);
 }
 
@@ -92,7 +92,7 @@
   ClosingServer server(kPort + 1, 1, false);
   UpstreamClient client(&clock);
   const Endpoint peer{.address = "127.0.0.1", .port = kPort + 1};
-  const HttpOutcome outcome = client.CallOnce(peer, kRequest, kTimeout);
+  const HttpOutcome outcome = client.CallOnce(peer, work_request, kTimeout);
   CHECK(ReadOutcome(outcome, "r").effect == UpstreamEffect::kMayHaveRun);
   CHECK(server.requests() == 1);
 }
