Satisfy clang-tidy in the request path tests

Cause: clang-tidy reported a constant's name and vectors that grow in loops in tests/entry_test.cc and tests/long_work_test.cc.

Change: renamed the constant, reserved the vectors.

Conclusion: no change of behaviour.

--- a/tests/claim_batch_test.cc
+++ b/tests/claim_batch_test.cc
@@ -26,6 +26,7 @@
       {.data_centres = 1, .upstreams_per_service = 4, .base_port = kBasePort});
   const auto started = std::chrono::steady_clock::now();
   std::vector<std::future<int>> callers;
+  callers.reserve(kCallers);
   for (int caller = 0; caller < kCallers; ++caller) {
     callers.push_back(std::async(std::launch::async, [&] {
       int done = 0;
--- a/tests/entry_test.cc
+++ b/tests/entry_test.cc
@@ -59,6 +59,7 @@
       {.data_centres = 1, .entries_per_data_centre = 3, .base_port = Port(1)});
   const std::string key = NewKey();
   std::vector<std::future<HttpOutcome>> same;
+  same.reserve(12);
   for (int number = 0; number < 12; ++number) {
     same.push_back(std::async(std::launch::async, [&, number] {
       return Charge(deployment.Callers(1, 1 + number % 3), key, "100 sum");
@@ -81,6 +82,7 @@
   std::vector<std::string> keys(6);
   for (std::string& key : keys) key = NewKey();
   std::vector<std::future<HttpOutcome>> cut;
+  cut.reserve(keys.size());
   for (const std::string& key : keys) {
     cut.push_back(std::async(std::launch::async, [&deployment, key] {
       return Charge(deployment.Callers(1, 1), key, "1500 sum");
@@ -120,6 +122,7 @@
   std::vector<std::string> keys(4);
   for (std::string& key : keys) key = NewKey();
   std::vector<std::future<HttpOutcome>> first;
+  first.reserve(keys.size());
   const Process& paused = deployment.ProcessOf(Deployment::EntryName(1, 1));
   for (const std::string& key : keys) {
     first.push_back(std::async(std::launch::async, [&deployment, key] {
@@ -213,6 +216,7 @@
   ServingDeployment deployment({.data_centres = 1, .base_port = Port(8)});
   std::vector<std::future<HttpOutcome>> load;
   std::vector<std::string> keys(24);
+  load.reserve(keys.size());
   for (std::string& key : keys) {
     key = NewKey();
     load.push_back(std::async(std::launch::async, [&deployment, key] {
--- a/tests/long_work_test.cc
+++ b/tests/long_work_test.cc
@@ -10,14 +10,14 @@
 
 constexpr std::uint16_t kBasePort = 24200;
 constexpr std::int64_t kStart = 1'800'000'000'000;
-const WorkHandle kHandle("handle");
+const WorkHandle work_handle("handle");
 
 std::string RecordOf(const std::string& author, const WorkEvent& event) {
   return EncodeWorkRecord({.author = Incarnation(author), .event = event});
 }
 
 WorkAccepted Accepted() {
-  return {.handle = kHandle,
+  return {.handle = work_handle,
           .service = ServiceName("master"),
           .caller = Digest("caller"),
           .digest = Digest("digest"),
@@ -26,7 +26,7 @@
 }
 
 AttemptStarted Attempt(const std::string& task, const std::string& upstream = "up") {
-  return {.handle = kHandle, .task = TaskId(task), .upstream = InstanceName(upstream)};
+  return {.handle = work_handle, .task = TaskId(task), .upstream = InstanceName(upstream)};
 }
 
 // Guards against two entries that run one item, and against an author that acts after its fence.
@@ -34,16 +34,17 @@
   WorkFold fold;
   CHECK(fold.Apply(kStart, RecordOf("a", Accepted())));
   CHECK_FALSE(fold.Apply(kStart, RecordOf("b", Accepted())));
-  CHECK_FALSE(fold.Apply(kStart, RecordOf("b", WorkTaken{.handle = kHandle})));
+  CHECK_FALSE(fold.Apply(kStart, RecordOf("b", WorkTaken{.handle = work_handle})));
   CHECK_FALSE(fold.Apply(kStart, RecordOf("b", Attempt("t0"))));
   CHECK(fold.Apply(kStart, RecordOf("b", IncarnationFenced{.incarnation = Incarnation("a")})));
   CHECK_FALSE(fold.Apply(kStart, RecordOf("a", Attempt("t1"))));
-  CHECK(fold.Apply(kStart, RecordOf("b", WorkTaken{.handle = kHandle})));
-  CHECK_FALSE(fold.Apply(kStart, RecordOf("c", WorkTaken{.handle = kHandle})));
+  CHECK(fold.Apply(kStart, RecordOf("b", WorkTaken{.handle = work_handle})));
+  CHECK_FALSE(fold.Apply(kStart, RecordOf("c", WorkTaken{.handle = work_handle})));
   CHECK(fold.Apply(kStart, RecordOf("b", Attempt("t2"))));
   CHECK_FALSE(fold.Apply(kStart, RecordOf("b", Attempt("t3"))));
-  CHECK(fold.Apply(kStart, RecordOf("a", WorkFinished{.handle = kHandle, .body = "first"})));
-  CHECK_FALSE(fold.Apply(kStart, RecordOf("b", WorkFinished{.handle = kHandle, .body = "late"})));
+  CHECK(fold.Apply(kStart, RecordOf("a", WorkFinished{.handle = work_handle, .body = "first"})));
+  CHECK_FALSE(
+      fold.Apply(kStart, RecordOf("b", WorkFinished{.handle = work_handle, .body = "late"})));
   CHECK(fold.FindKey(IdempotencyKey("key"))->result == "first");
   CHECK(fold.OpenCount() == 0);
 }
@@ -54,22 +55,22 @@
   WorkFold old;
   old.Apply(kStart, RecordOf("a", Accepted()));
   old.Apply(kStart, RecordOf("a", Attempt("t1", "one")));
-  old.Apply(kStart, RecordOf("a", AttemptEnded{.handle = kHandle,
+  old.Apply(kStart, RecordOf("a", AttemptEnded{.handle = work_handle,
                                                .task = TaskId("t1"),
                                                .end = AttemptEnd::kFailed}));
   old.Apply(kStart, RecordOf("a", Attempt("t2", "two")));
-  old.Apply(kStart, RecordOf("a", AttemptEnded{.handle = kHandle,
+  old.Apply(kStart, RecordOf("a", AttemptEnded{.handle = work_handle,
                                                .task = TaskId("t2"),
                                                .end = AttemptEnd::kCheckpointed,
                                                .progress_ms = 7}));
   WorkFold fresh;
-  const WorkItem item = *old.Find(kHandle);
+  const WorkItem item = *old.Find(work_handle);
   CHECK(item.failed_on == std::vector{InstanceName("one")});
   CHECK(item.progress_ms == 7);
   CHECK(fresh.Apply(kStart, RecordOf("a", ItemCarried{.item = item})));
-  CHECK(*fresh.Find(kHandle) == item);
+  CHECK(*fresh.Find(work_handle) == item);
   CHECK(fresh.OpenCount() == 1);
-  fresh.Apply(kStart, RecordOf("a", WorkFinished{.handle = kHandle}));
+  fresh.Apply(kStart, RecordOf("a", WorkFinished{.handle = work_handle}));
   fresh.Apply(kStart + config::kLongResultRetentionMs + 1, RecordOf("a", std::monostate{}));
   CHECK(fresh.items().empty());
 }
