Run planners in the demonstration and mend what it showed

Change: the launcher writes the planner section and fills the instance list; the planner answers /dump and /metrics as the entry does; the entry sets its gauges when it is asked; findings mended. Conclusion: make demo shows the whole path with planned changes.

--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -54,15 +54,10 @@
 
 
 def peer_bytes(control):
-    """Bytes that a process sent to and received from its peers, or None without such a metric."""
-    _, _, body = http("GET", control, "/metrics")
-    total = 0.0
-    found = False
-    for line in body.splitlines():
-        if line.startswith(("endivewood_peer_bytes_sent", "endivewood_peer_bytes_received")):
-            total += float(line.rsplit(" ", 1)[1])
-            found = True
-    return total if found else None
+    """Bytes that an entry sent to and received from its peers."""
+    _, _, body = http("GET", control, "/dump")
+    values = {one["name"]: one["value"] for one in json.loads(body)["subsystems"]}
+    return values["peer bytes sent"] + values["peer bytes received"]
 
 
 def mean(values):
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -58,7 +58,8 @@
         step("meanwhile the operator switches the preset and starts a maintenance wave")
         self.operate("switch", "peak", "--wait")
         self.await_pool("analysis", 8)
-        self.operate("wave", "start", "autumn", "--pool", "analysis", "--wait")
+        self.operate("wave", "start", "autumn", "analysis", "--wait")
+        self.await_wave()
         step("load run finishes")
         self.check(load.wait(timeout=240) == 0, "endivewood-load found violations")
         step("state of the fleet")
@@ -84,6 +85,18 @@
             time.sleep(0.2)
         self.check(False, f"pool {pool} has {ready} ready instances, expected {size}")
 
+    def await_wave(self, limit_s=120):
+        """Waits until the wave has maintained every instance of its pool."""
+        end = time.monotonic() + limit_s
+        while time.monotonic() < end:
+            _, _, body = http("GET", self.deployment.entries[0]["control"], "/dump")
+            state = json.loads(body)["wave"]["state"]
+            if state == "finished":
+                print("the wave is finished")
+                return
+            time.sleep(0.5)
+        self.check(False, f"the wave is {state}, expected finished")
+
     def ready_instances(self, pool):
         _, _, body = http("GET", self.deployment.entries[0]["control"], "/dump")
         instances = json.loads(body).get("instances", [])
--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -1,8 +1,8 @@
 """Writes the files of a deployment on loopback, starts its processes and stops them.
 
 A deployment file (JSON) lists data centres, pools, services and presets. Instances are spread over
-the data centres in turn, four to a rack. Data centre N uses the addresses 127.0.N.x: entries from
-.1, planners from .51, upstreams from .101.
+the data centres in turn, four to a rack. Data centre N uses the addresses 127.0.N.x: entries and
+planners from .1, upstreams from .101.
 """
 
 import argparse
@@ -12,10 +12,11 @@
 import subprocess
 import sys
 import time
+import urllib.error
+import urllib.parse
 import urllib.request
 
 INSTANCES_PER_RACK = 4
-FIRST_PLANNER_HOST = 51
 FIRST_UPSTREAM_HOST = 101
 START_LIMIT_S = 20
 STOP_LIMIT_S = 20
@@ -38,25 +39,33 @@
         self.processes = {}
         self.data_centres = self.spec["data_centres"]
         self.platform = f"127.0.0.1:{self.port}"
-        self.entries = self._members("entry", 1)
-        self.planners = self._members("planner", FIRST_PLANNER_HOST)
+        self.entries = self._entries()
+        self.planners = self._planners()
         self.instances = self._place_instances()
 
-    def _members(self, kind, first_host):
-        """Lists the entry or planner processes; each entry instance runs one of both."""
+    def _entries(self):
+        """Lists the entry processes."""
         members = []
         for number, centre in enumerate(self.data_centres, start=1):
             for index in range(centre.get("entries", 2)):
-                host = f"127.0.{number}.{first_host + index}"
+                host = f"127.0.{number}.{index + 1}"
                 members.append({
-                    "name": f"{kind}-{centre['name']}-{index + 1}",
+                    "name": f"entry-{centre['name']}-{index + 1}",
                     "data_centre": centre["name"],
                     "callers": f"{host}:{self.port + 1}",
                     "control": f"{host}:{self.port + 2}",
                     "peer": f"{host}:{self.port + 3}",
+                    "planner_control": f"{host}:{self.port + 4}",
+                    "settings": f"entry-{centre['name']}-{index + 1}.yaml",
                 })
         return members
 
+    def _planners(self):
+        """Lists the planners; each shares the settings file of the entry on its instance."""
+        return [{"name": entry["name"].replace("entry", "planner", 1),
+                 "data_centre": entry["data_centre"], "control": entry["planner_control"],
+                 "settings": entry["name"] + ".yaml"} for entry in self.entries]
+
     def _place_instances(self):
         """Spreads the instances of each pool over the data centres."""
         instances = []
@@ -84,9 +93,8 @@
     def write_files(self):
         os.makedirs(self.out, exist_ok=True)
         self._write_fleet()
-        for members in (self.entries, self.planners):
-            for member in members:
-                self._write_settings(member, members)
+        for entry in self.entries:
+            self._write_settings(entry)
         with open(self.path("deployment.yaml"), "w", encoding="utf-8") as file:
             file.write("processes:\n")
             for member in self.entries + self.planners:
@@ -106,13 +114,15 @@
                 file.write(f"{section}:\n")
                 file.writelines(f"  - {flow(entry)}\n" for entry in entries)
 
-    def _write_settings(self, member, members):
-        with open(self.path(member["name"] + ".yaml"), "w", encoding="utf-8") as file:
+    def _write_settings(self, member):
+        planner = {"control": member["planner_control"], "hold_ms": self.spec.get("hold_ms", 10000)}
+        with open(self.path(member["settings"]), "w", encoding="utf-8") as file:
             for key in ("name", "data_centre", "callers", "control", "peer"):
                 file.write(f"{key}: {flow(member[key])}\n")
             file.write(f"platform: {flow(self.platform)}\n")
-            file.write("peers:\n" if len(members) > 1 else "peers: []\n")
-            for peer in members:
+            file.write(f"planner: {flow(planner)}\n")
+            file.write("peers:\n" if len(self.entries) > 1 else "peers: []\n")
+            for peer in self.entries:
                 if peer is member:
                     continue
                 entry = {"name": peer["name"], "data_centre": peer["data_centre"],
@@ -143,16 +153,23 @@
             self.start(one["name"], "upstream", "--address", one["address"], "--port",
                        str(one["port"]), "--slots", str(one["slots"]))
         self.await_listener(self.platform)
+        for one in self.instances:
+            self.register(one)
         for member in self.entries:
             self.start_member("endivewood-entry", member)
-        if os.path.exists(os.path.join(self.binaries, "endivewood-planner")):
-            for member in self.planners:
-                self.start_member("endivewood-planner", member)
-        for member in self.entries:
+        for member in self.planners:
+            self.start_member("endivewood-planner", member)
+        for member in self.entries + self.planners:
             self.await_listener(member["control"])
 
+    def register(self, instance):
+        """Adds an instance to the platform's list."""
+        fields = ("name", "data_centre", "rack", "address", "port", "slots")
+        query = urllib.parse.urlencode({field: instance[field] for field in fields})
+        http("POST", self.platform, "/instances?" + query, body="")
+
     def start_member(self, program, member):
-        self.start(member["name"], program, "--config", self.path(member["name"] + ".yaml"))
+        self.start(member["name"], program, "--config", self.path(member["settings"]))
 
     @staticmethod
     def await_listener(address):
--- a/src/entry.cc
+++ b/src/entry.cc
@@ -204,6 +204,7 @@
 
 HttpReply Entry::HandleControl(const HttpRequest& request) {
   if (request.path == "/health" && m_limiter.closed()) return Answer(ResultCode::kNotRunStopping);
+  UpdateGauges();
   return AnswerControl(request, {.settings = m_settings,
                                  .incarnation = m_incarnation,
                                  .follower = m_follower,
@@ -211,6 +212,29 @@
                                  .subsystems = DumpValues()});
 }
 
+void Entry::UpdateGauges() {
+  const SlotAllocatorStats slots = m_slots.AllocatorStats();
+  const auto view = m_follower.View();
+  std::uint64_t newest = view->next_offset;
+  int connected = 0;
+  for (const PeerMember& member : m_peers.Members()) {
+    newest = std::max(newest, member.applied);
+    if (member.state == PeerState::kAlive) ++connected;
+  }
+  const auto is_ready = [&](const auto& item) {
+    return item.second.data_centre == m_settings.data_centre &&
+           item.second.state == InstanceState::kReady;
+  };
+  const auto ready = std::count_if(view->instances.begin(), view->instances.end(), is_ready);
+  m_metrics.Set(Gauge::kQueueDepthShort, static_cast<std::int64_t>(slots.waiting_short));
+  m_metrics.Set(Gauge::kQueueDepthLong, static_cast<std::int64_t>(slots.waiting_long));
+  m_metrics.Set(Gauge::kRequestsInProgress, m_limiter.in_progress());
+  m_metrics.Set(Gauge::kAppliedOffset, static_cast<std::int64_t>(view->next_offset));
+  m_metrics.Set(Gauge::kOffsetBehind, static_cast<std::int64_t>(newest - view->next_offset));
+  m_metrics.Set(Gauge::kUpstreamsReady, ready);
+  m_metrics.Set(Gauge::kPeersConnected, connected);
+}
+
 std::vector<DumpValue> Entry::DumpValues() const {
   const ClaimStats claims = m_claims.Stats();
   const SlotAllocatorStats slots = m_slots.AllocatorStats();
--- a/src/entry.h
+++ b/src/entry.h
@@ -51,6 +51,7 @@
   HttpReply Serve(const ServiceRequest& request, const ServiceConfig& service);
   HttpReply HandleControl(const HttpRequest& request);
   std::vector<DumpValue> DumpValues() const;
+  void UpdateGauges();
   HttpReply HandleResult(const HttpRequest& request);
   HttpReply AcceptLong(const ServiceRequest& request, const ServiceConfig& service);
   HttpReply RunClaimed(const ServiceRequest& request, const ServiceConfig& service);
--- a/src/planner_process.cc
+++ b/src/planner_process.cc
@@ -3,6 +3,7 @@
 #include "planner_process.h"
 
 #include "config.h"
+#include "dump.h"
 
 namespace endivewood {
 namespace {
@@ -21,8 +22,6 @@
           .reboot_limit = Milliseconds(settings.planner.reboot_limit_ms)};
 }
 
-const char* Flag(bool value) { return value ? "true" : "false"; }
-
 }  // namespace
 
 PlannerProcess::PlannerProcess(const ProcessSettings& settings)
@@ -183,18 +182,16 @@
 }
 
 HttpReply PlannerProcess::HandleControl(const HttpRequest& request) const {
-  if (request.path == "/health") return {};
-  if (request.path != "/dump") return {.status = 404};
-  const auto view = m_follower.View();
-  std::string body =
-      "{\"process\":\"" + m_settings.name + "\",\"data_centre\":\"" + m_settings.data_centre.str() +
-      "\",\"incarnation\":\"" + m_self.incarnation.str() + "\",\"leads\":" + Flag(m_leads) +
-      ",\"current\":" + Flag(m_current) + ",\"next_offset\":" + std::to_string(view->next_offset) +
-      ",\"preset\":\"" + view->preset.str() + "\",\"accepted\":" + std::to_string(m_accepted) +
-      ",\"rejected\":" + std::to_string(m_rejected) + ",\"orders\":" + std::to_string(m_orders) +
-      "}";
-  return {
-      .status = 200, .headers = {{"Content-Type", "application/json"}}, .body = std::move(body)};
+  const auto number = [](auto value) { return static_cast<std::int64_t>(value); };
+  return AnswerControl(request, {.settings = m_settings,
+                                 .incarnation = m_self.incarnation,
+                                 .follower = m_follower,
+                                 .metrics = m_metrics,
+                                 .subsystems = {{"leads", number(m_leads.load())},
+                                                {"current", number(m_current.load())},
+                                                {"proposals_accepted", number(m_accepted.load())},
+                                                {"proposals_rejected", number(m_rejected.load())},
+                                                {"worker_orders", number(m_orders.load())}}});
 }
 
 }  // namespace endivewood
--- a/src/planner_process.h
+++ b/src/planner_process.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "endivewood_p.h"
+#include "metrics.h"
 #include "planner.h"
 #include "planner_membership.h"
 #include "settings.h"
@@ -64,6 +65,7 @@
   std::set<RecordId> m_own;  ///< Records whose verdict has not been read.
   std::atomic<bool> m_stopping{false};
   FleetFollower m_follower;
+  Metrics m_metrics;
   HttpServer m_control_server;
   std::thread m_thread;
 };
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr std::uint16_t kBasePort = 25000;
-const ServiceName kQuick("quick");
+const ServiceName quick("quick");
 
 /// An entry without HTTP and without a platform.
 struct Node {
@@ -83,7 +83,7 @@
 
   /// The node that holds the queue, and the others.
   std::unique_ptr<Node>& Holder() {
-    const std::string name = nodes.back()->router.HolderOf(kQuick);
+    const std::string name = nodes.back()->router.HolderOf(quick);
     return *std::ranges::find_if(nodes,
                                  [&](const auto& node) { return node->peers.name() == name; });
   }
@@ -99,7 +99,7 @@
 };
 
 SlotRequest Quick(int deadline_ms) {
-  return {.service = kQuick, .queue_deadline = Milliseconds(deadline_ms)};
+  return {.service = quick, .queue_deadline = Milliseconds(deadline_ms)};
 }
 
 // Guards against entries that use different queues, and against a slot that is granted twice or
--- a/tests/recovery_test.cc
+++ b/tests/recovery_test.cc
@@ -58,8 +58,8 @@
     if (name.starts_with("peer entry")) alive += value == 1 ? 1 : 0;
   }
   const auto& options = deployment.options();
-  return alive + 1 ==
-         static_cast<std::uint64_t>(options.data_centres * options.entries_per_data_centre);
+  const int entries = options.data_centres * options.entries_per_data_centre;
+  return alive + 1 == static_cast<std::uint64_t>(entries);
 }
 
 // Guards against a fresh entry that needs the platform, and against a killed entry that the others
--- a/tools/endivewood_capacity.cc
+++ b/tools/endivewood_capacity.cc
@@ -117,6 +117,7 @@
 
 void PrintQuantity(const Quantity& quantity, bool csv) {
   std::vector<Point> points;
+  points.reserve(kFleetSizes.size());
   for (int size : kFleetSizes) {
     points.push_back({.size = static_cast<double>(size), .value = quantity.measure(size)});
   }
--- a/tools/endivewood_load.cc
+++ b/tools/endivewood_load.cc
@@ -23,6 +23,7 @@
   std::vector<RequestRecord> Execute() {
     m_started = std::chrono::steady_clock::now();
     std::vector<std::thread> threads;
+    threads.reserve(static_cast<std::size_t>(m_config.connections));
     for (int index = 0; index < m_config.connections; ++index) {
       threads.emplace_back([this] { SendArrivals(); });
     }
--- a/tools/endivewood_load/load_report.cc
+++ b/tools/endivewood_load/load_report.cc
@@ -96,6 +96,7 @@
     while (lines >> key >> count) counts[key] += count;
   }
   std::vector<Effect> effects;
+  effects.reserve(counts.size());
   for (const auto& [key, count] : counts) effects.push_back({.key = key, .count = count});
   return effects;
 }
--- a/tools/endivewood_speed.cc
+++ b/tools/endivewood_speed.cc
@@ -80,10 +80,12 @@
 Sample MeasureRound(const Target& target, int connections, std::chrono::seconds duration) {
   const auto started = std::chrono::steady_clock::now();
   std::vector<std::unique_ptr<Sender>> senders;
+  senders.reserve(static_cast<std::size_t>(connections));
   for (int index = 0; index < connections; ++index) {
     senders.push_back(std::make_unique<Sender>(target, started + duration));
   }
   std::vector<std::thread> threads;
+  threads.reserve(senders.size());
   for (const auto& sender : senders) threads.emplace_back([&sender] { sender->Run(); });
   for (std::thread& thread : threads) thread.join();
   const std::chrono::duration<double> elapsed = std::chrono::steady_clock::now() - started;
