--- a/src/claims.cc
+++ b/src/claims.cc
@@ -24,18 +24,6 @@
 constexpr std::size_t kKeyDigits = 32;
 constexpr std::size_t kMaxEpochDigits = 12;
 
-template <std::size_t... Index>
-std::optional<ClaimEvent> DecodeEvent(std::size_t kind, const msgpack::object& object,
-                                      std::index_sequence<Index...>) {
-  std::optional<ClaimEvent> event;
-  auto decode = [&]<std::size_t kAlternative>() {
-    if (kind != kAlternative) return;
-    event.emplace(object.as<std::variant_alternative_t<kAlternative, ClaimEvent>>());
-  };
-  (decode.template operator()<Index>(), ...);
-  return event;
-}
-
 bool IsLowerHex(char digit) {
   return (digit >= '0' && digit <= '9') || (digit >= 'a' && digit <= 'f');
 }
@@ -88,9 +76,8 @@
     using Row = std::tuple<std::size_t, msgpack::object>;
     const auto [author, rows] = handle.get().as<std::tuple<Incarnation, std::vector<Row>>>();
     ClaimBatch batch{.author = author, .events = {}};
-    constexpr auto kKinds = std::make_index_sequence<std::variant_size_v<ClaimEvent>>{};
     for (const auto& [kind, object] : rows) {
-      auto event = DecodeEvent(kind, object, kKinds);
+      auto event = DecodeAlternative<ClaimEvent>(kind, object);
       if (!event) return std::nullopt;
       batch.events.push_back(std::move(*event));
     }
--- a/src/codec.h
+++ b/src/codec.h
@@ -5,6 +5,7 @@
 #include <endivewood/endivewood.h>
 
 #include <msgpack.hpp>
+#include <utility>
 
 MSGPACK_ADD_ENUM(endivewood::WorkClass)
 MSGPACK_ADD_ENUM(endivewood::InstanceState)
@@ -122,4 +123,31 @@
   }
 }
 
+/// Decodes the alternative of a variant whose index is `kind`, as records carry it.
+/// @param unpack called as unpack.template operator()<Alternative>(object); may throw.
+/// @returns no value when the variant has no such alternative.
+template <typename Variant, typename UnpackAlternative>
+std::optional<Variant> DecodeAlternative(std::size_t kind, const msgpack::object& object,
+                                         const UnpackAlternative& unpack) {
+  std::optional<Variant> decoded;
+  const auto decode = [&]<std::size_t kAlternative>() {
+    if (kind != kAlternative) return;
+    using Alternative = std::variant_alternative_t<kAlternative, Variant>;
+    decoded.emplace(unpack.template operator()<Alternative>(object));
+  };
+  const auto decode_all = [&]<std::size_t... Index>(std::index_sequence<Index...>) {
+    (decode.template operator()<Index>(), ...);
+  };
+  decode_all(std::make_index_sequence<std::variant_size_v<Variant>>{});
+  return decoded;
+}
+
+/// As above, for alternatives that have a codec each.
+template <typename Variant>
+std::optional<Variant> DecodeAlternative(std::size_t kind, const msgpack::object& object) {
+  return DecodeAlternative<Variant>(
+      kind, object,
+      []<typename Alternative>(const msgpack::object& value) { return value.as<Alternative>(); });
+}
+
 }  // namespace endivewood
--- a/src/fleet_codec.cc
+++ b/src/fleet_codec.cc
@@ -7,23 +7,6 @@
 #include "codec.h"
 
 namespace endivewood {
-namespace {
-
-/// Decodes alternative `index` of FleetChange; the kind on the wire is the alternative's index.
-template <std::size_t... Index>
-std::optional<FleetChange> DecodeChange(std::size_t kind, const msgpack::object& object,
-                                        std::index_sequence<Index...>) {
-  std::optional<FleetChange> change;
-  auto decode = [&]<std::size_t kAlternative>() {
-    if (kind != kAlternative) return;
-    change.emplace(object.as<std::variant_alternative_t<kAlternative, FleetChange>>());
-  };
-  (decode.template operator()<Index>(), ...);
-  return change;
-}
-
-}  // namespace
-
 std::string EncodeFleetRecord(const FleetRecord& record) {
   msgpack::sbuffer buffer;
   msgpack::packer<msgpack::sbuffer> packer(buffer);
@@ -42,8 +25,7 @@
     const msgpack::object_handle handle = msgpack::unpack(payload.data(), payload.size());
     using Fields = std::tuple<std::size_t, RecordId, Incarnation, std::uint64_t, msgpack::object>;
     const auto [kind, id, author, expected, object] = handle.get().as<Fields>();
-    auto change =
-        DecodeChange(kind, object, std::make_index_sequence<std::variant_size_v<FleetChange>>{});
+    auto change = DecodeAlternative<FleetChange>(kind, object);
     if (!change || !id.valid()) return std::nullopt;
     return FleetRecord{
         .id = id, .author = author, .expected_version = expected, .change = std::move(*change)};
--- a/src/frame.cc
+++ b/src/frame.cc
@@ -46,18 +46,6 @@
   return {size, size, size, size, size, kDepth};
 }
 
-template <std::size_t... Index>
-std::optional<PeerMessage> DecodeKind(std::size_t kind, const msgpack::object& object,
-                                      std::index_sequence<Index...>) {
-  std::optional<PeerMessage> message;
-  auto decode = [&]<std::size_t kAlternative>() {
-    if (kind != kAlternative) return;
-    message.emplace(object.as<std::variant_alternative_t<kAlternative, PeerMessage>>());
-  };
-  (decode.template operator()<Index>(), ...);
-  return message;
-}
-
 /// Rejects values that their types can hold but no sender writes.
 struct Validity {
   bool operator()(const Hello& message) const {
@@ -95,8 +83,7 @@
     if (handle.get().type != msgpack::type::ARRAY) return std::nullopt;
     if (handle.get().via.array.size != kFields) return std::nullopt;
     const auto [kind, object] = handle.get().as<std::tuple<std::size_t, msgpack::object>>();
-    auto message =
-        DecodeKind(kind, object, std::make_index_sequence<std::variant_size_v<PeerMessage>>{});
+    auto message = DecodeAlternative<PeerMessage>(kind, object);
     if (!message || !std::visit(Validity(), *message)) return std::nullopt;
     return message;
   } catch (const std::exception&) {
--- a/src/long_work.cc
+++ b/src/long_work.cc
@@ -53,18 +53,6 @@
   }
 }
 
-template <std::size_t... Index>
-std::optional<WorkEvent> DecodeEvent(std::size_t kind, const msgpack::object& object,
-                                     std::index_sequence<Index...>) {
-  std::optional<WorkEvent> event;
-  auto decode = [&]<std::size_t kAlternative>() {
-    if (kind != kAlternative) return;
-    event.emplace(UnpackEvent<std::variant_alternative_t<kAlternative, WorkEvent>>(object));
-  };
-  (decode.template operator()<Index>(), ...);
-  return event;
-}
-
 }  // namespace
 
 std::string EncodeWorkRecord(const WorkRecord& record) {
@@ -83,8 +71,10 @@
     const msgpack::object_handle handle = msgpack::unpack(payload.data(), payload.size());
     const auto [author, kind, object] =
         handle.get().as<std::tuple<Incarnation, std::size_t, msgpack::object>>();
-    constexpr auto kKinds = std::make_index_sequence<std::variant_size_v<WorkEvent>>{};
-    auto event = DecodeEvent(kind, object, kKinds);
+    const auto unpack = []<typename Value>(const msgpack::object& value) {
+      return UnpackEvent<Value>(value);
+    };
+    auto event = DecodeAlternative<WorkEvent>(kind, object, unpack);
     if (!event) return std::nullopt;
     return WorkRecord{.author = author, .event = std::move(*event)};
   } catch (const std::exception&) {
