--- a/daemons/endivewood_node.cc
+++ b/daemons/endivewood_node.cc
@@ -9,6 +9,7 @@
 #include "adapter.h"
 #include "config.h"
 #include "json_log.h"
+#include "link_meter.h"
 
 namespace endivewood {
 namespace {
@@ -27,6 +28,7 @@
       : m_file(std::move(file)),
         m_operators_port(operators_port),
         m_settings(settings),
+        m_link_meter(settings.link_mbps),
         m_log({.process = settings.node, .data_centre = settings.data_centre}, &m_clock) {
     UseJsonLog(&m_log, &m_metrics);
   }
@@ -44,6 +46,7 @@
     m_loop.OnSignal(SIGINT, [this] { BeginStop(); });
     m_loop.OnSignal(SIGHUP, [this] { Reload(); });
     Flush();
+    ReportLink();
     m_loop.Run();
     LogEvent(Event::kProcessStopped, {{"cut", m_entry->in_progress()}});
     m_log.Flush();
@@ -80,6 +83,13 @@
     m_loop.After(kLogFlushInterval, [this] { Flush(); });
   }
 
+  void ReportLink() {
+    m_link_meter.Report({.store = m_adapter->store_traffic(),
+                         .upstreams = m_adapter->upstream_traffic(),
+                         .peers = m_node->peer_traffic()});
+    m_loop.After(Milliseconds(config::kLinkReportMs), [this] { ReportLink(); });
+  }
+
   void Reload() {
     std::vector<ConfigError> errors;
     const auto settings = platform::LoadPlatformSettings(m_file, &errors);
@@ -115,6 +125,7 @@
   int m_operators_port;
   platform::PlatformSettings m_settings;
   Clock m_clock;
+  LinkMeter m_link_meter;
   JsonLog m_log;
   EventMetrics m_metrics;
   EventLoop m_loop;
--- a/src/async_http.cc
+++ b/src/async_http.cc
@@ -51,6 +51,17 @@
   return body;
 }
 
+/// @returns the size of a message; `first_line` is that of its request or status line.
+std::size_t SizeOf(std::size_t first_line, const std::vector<HttpHeader>& headers,
+                   const std::string& body) {
+  constexpr std::size_t kSeparators = 4;
+  std::size_t size = first_line + body.size() + kSeparators;
+  for (const HttpHeader& header : headers) {
+    size += header.name.size() + header.value.size() + kSeparators;
+  }
+  return size;
+}
+
 std::vector<HttpHeader> CopyHeaders(evkeyvalq* headers) {
   std::vector<HttpHeader> copied;
   for (evkeyval* header = headers->tqh_first; header != nullptr; header = header->next.tqe_next) {
@@ -162,6 +173,7 @@
   evbuffer_add(evhttp_request_get_output_buffer(request), message.body.data(), message.body.size());
   const std::string target =
       message.query.empty() ? message.path : message.path + "?" + message.query;
+  m_traffic.sent += SizeOf(target.size(), message.headers, message.body);
   connection->request = request;
   connection->pending = std::move(pending);
   const evhttp_cmd_type command = CommandOf(connection->pending->request.method);
@@ -200,6 +212,7 @@
   HttpReply reply{.status = evhttp_request_get_response_code(request),
                   .headers = CopyHeaders(evhttp_request_get_input_headers(request)),
                   .body = TakeBody(evhttp_request_get_input_buffer(request))};
+  connection->client->m_traffic.received += SizeOf(0, reply.headers, reply.body);
   connection->client->Finish(
       connection, {.reply = std::move(reply), .failure = CallFailure::kNoAnswer, .detail = ""});
 }
--- a/src/async_http.h
+++ b/src/async_http.h
@@ -16,6 +16,12 @@
 
 namespace endivewood {
 
+/// Bytes of messages, without the overhead of TCP and IP.
+struct Traffic {
+  std::uint64_t sent = 0;
+  std::uint64_t received = 0;
+};
+
 struct AsyncHttpClientOptions {
   /// Maximum number of connections to one peer; further calls wait for a free one.
   std::size_t max_connections = 4;
@@ -40,6 +46,7 @@
   void CloseIdle(Milliseconds now);
 
   std::uint64_t connections_opened() const { return m_connections_opened; }
+  const Traffic& traffic() const { return m_traffic; }
 
  private:
   struct Connection;
@@ -56,6 +63,7 @@
   AsyncHttpClientOptions m_options;
   std::map<Endpoint, std::unique_ptr<Peer>> m_peers;
   std::uint64_t m_connections_opened = 0;
+  Traffic m_traffic;
 };
 
 struct AsyncHttpListenerOptions {
--- a/src/config.h
+++ b/src/config.h
@@ -527,6 +527,16 @@
 /// duration of a failover.
 inline constexpr std::int64_t kFailoverRetryMs = 1000;
 
+/// Delay in milliseconds from which a late tick is logged: a noticeable part of the 600 ms in which
+/// the shortest requests should be answered.
+inline constexpr std::int64_t kReportedDelayMs = 100;
+
+/// Share of an instance's link above which its use is logged. Queues grow before a link is full.
+inline constexpr double kBusyLinkShare = 0.5;
+
+/// Interval in milliseconds over which the use of the link is measured.
+inline constexpr std::int64_t kLinkReportMs = 1000;
+
 /// Milliseconds by which a node's tick is delayed so that it handles several events at once.
 inline constexpr std::int64_t kNodeTickDelayMs = 4;
 
--- a/src/events.h
+++ b/src/events.h
@@ -122,6 +122,9 @@
   kSettingsReloaded = 809,
   kLinesDropped = 810,
   kEpochsExhausted = 811,
+  kStoreCallFailed = 812,
+  kProcessDelayed = 813,
+  kLinkBusy = 814,
   // Machines of the platform.
   kMaintenanceOrdered = 900,
   kMoveOrdered = 901,
--- a/src/job_node.cc
+++ b/src/job_node.cc
@@ -107,8 +107,17 @@
   });
 }
 
+/// Logs that a tick began late, with the work done since the previous one.
+void JobNode::ReportDelay(Milliseconds now) {
+  std::vector<EventField> fields = m_work.TakeFields();
+  if (now - m_tick_at < Milliseconds(config::kReportedDelayMs)) return;
+  fields.insert(fields.begin(), {"late_ms", now - m_tick_at});
+  LogEvent(Event::kProcessDelayed, fields);
+}
+
 void JobNode::Tick() {
   const Milliseconds now = m_clock->Now();
+  ReportDelay(now);
   PollFollowers(now);
   UpdateMembership(now);
   RefreshOwners(now);
@@ -132,10 +141,16 @@
 }
 
 void JobNode::CallStore(const StoreCall& call, Milliseconds timeout, StoreCallback callback) {
-  m_callbacks.call_store(call, timeout, [this, callback = std::move(callback)](StoreReply reply) {
+  const auto on_reply = [this, name = StoreCallName(call), sent_at = m_clock->Now(),
+                         callback = std::move(callback)](StoreReply reply) {
     const Milliseconds now = m_clock->Now();
     const bool answered =
         reply.status != StoreStatus::kNoAnswer && reply.status != StoreStatus::kRefused;
+    if (!answered) {
+      LogEvent(
+          Event::kStoreCallFailed,
+          {{"call", name}, {"status", StoreStatusName(reply.status)}, {"took_ms", now - sent_at}});
+    }
     if (answered) {
       if (m_store_unreachable)
         LogEvent(Event::kPlatformRestored, {{"silent_ms", now - m_last_store_answer}});
@@ -148,13 +163,15 @@
                                       {"status", StoreStatusName(reply.status)}});
     }
     callback(std::move(reply));
-  });
+  };
+  m_callbacks.call_store(call, timeout, on_reply);
 }
 
 void JobNode::PollFollowers(Milliseconds now) {
   if (const auto call = m_operators.TakeCall(now)) {
     const Milliseconds timeout(config::kConfigWaitMs + config::kStoreTimeoutMs / 2);
     CallStore(*call, timeout, [this](const StoreReply& reply) {
+      const WorkTimes::Scope scope(&m_work, m_clock, WorkPart::kConfiguration);
       if (m_operators.OnReply(reply, m_clock->Now())) ApplyOperatorRecords();
       ScheduleTick(Milliseconds{0});
     });
@@ -162,6 +179,7 @@
   if (m_terms.empty()) return;
   if (const auto call = m_registry.TakeCall(now)) {
     CallStore(*call, Milliseconds(config::kStoreTimeoutMs), [this](const StoreReply& reply) {
+      const WorkTimes::Scope scope(&m_work, m_clock, WorkPart::kRegistry);
       if (m_registry.OnReply(reply, m_clock->Now())) ApplyRegistry();
       ScheduleTick(Milliseconds(config::kNodeTickDelayMs));
     });
@@ -283,6 +301,7 @@
 }
 
 void JobNode::RunTerms(Milliseconds now) {
+  const WorkTimes::Scope scope(&m_work, m_clock, WorkPart::kScheduling);
   for (auto& [partition, term] : std::map(m_terms)) RunTerm(term.get(), now);
 }
 
@@ -340,15 +359,18 @@
     if (!endpoint) continue;
     if (const auto* renew = std::get_if<RenewOrder>(&order)) {
       const Milliseconds timeout = renew->wait + Milliseconds(config::kRenewTimeoutMs);
-      m_callbacks.send_renew(*endpoint, token, *renew, timeout,
-                             [this, term, sent = *renew](const RenewReply& reply) {
-                               term->scheduler().OnRenewed(sent, reply, m_clock->Now());
-                               ScheduleTick(Milliseconds(config::kNodeTickDelayMs));
-                             });
+      m_callbacks.send_renew(
+          *endpoint, token, *renew, timeout, [this, term, sent = *renew](const RenewReply& reply) {
+            const WorkTimes::Scope scope(&m_work, m_clock, WorkPart::kUpstreamReplies);
+            term->scheduler().OnRenewed(sent, reply, m_clock->Now());
+            ScheduleTick(Milliseconds(config::kNodeTickDelayMs));
+          });
       continue;
     }
     m_callbacks.send_order(*endpoint, token, order, Milliseconds(config::kOrderTimeoutMs),
                            [this, term, order](const OrderReply& reply) {
+                             const WorkTimes::Scope scope(&m_work, m_clock,
+                                                          WorkPart::kUpstreamReplies);
                              const Milliseconds now = m_clock->Now();
                              JobScheduler& target = term->scheduler();
                              if (const auto* start = std::get_if<StartOrder>(&order)) {
@@ -413,6 +435,7 @@
 }
 
 void JobNode::RunPlanner(Milliseconds now) {
+  const WorkTimes::Scope scope(&m_work, m_clock, WorkPart::kPlanning);
   const auto term = m_terms.find(kPlannerPartition);
   if (term == m_terms.end() || !term->second->active() || !m_catalog) return;
   if (!m_planner) {
@@ -438,6 +461,7 @@
     if (const auto instance = InstanceOf(call)) m_instance_orders.Record(*instance, m_clock->Now());
     m_callbacks.call_machines(call, Milliseconds(config::kStoreTimeoutMs),
                               [this, call, term](const MachineReply& reply) {
+                                const WorkTimes::Scope scope(&m_work, m_clock, WorkPart::kPlanning);
                                 if (!m_planner || !term->active()) return;
                                 m_planner->OnMachines(call, reply, m_clock->Now());
                                 ScheduleTick(Milliseconds{0});
--- a/src/job_node.h
+++ b/src/job_node.h
@@ -17,6 +17,7 @@
 #include "maintenance_planner.h"
 #include "node_link.h"
 #include "partition_term.h"
+#include "work_times.h"
 
 namespace endivewood {
 
@@ -89,6 +90,9 @@
   /// Ends all terms and leaves the group. Calls that still arrive are forwarded to the new holders.
   void BeginStop();
 
+  /// @returns the bytes exchanged with other instances.
+  Traffic peer_traffic() const { return m_link ? m_link->traffic() : Traffic{}; }
+
   /// @returns the node's state as a JSON document.
   std::string Dump() const;
 
@@ -96,6 +100,7 @@
   struct Forwarding;
 
   void Tick();
+  void ReportDelay(Milliseconds now);
   void ScheduleTick(Milliseconds delay);
   void PollFollowers(Milliseconds now);
   void UpdateMembership(Milliseconds now);
@@ -153,6 +158,7 @@
   bool m_stopping = false;
   EventLoop::TimerId m_tick_timer = 0;
   Milliseconds m_tick_at{0};
+  WorkTimes m_work;
 };
 
 }  // namespace endivewood
--- a/src/job_node_calls.cc
+++ b/src/job_node_calls.cc
@@ -152,6 +152,7 @@
 }
 
 void JobNode::AnswerLocally(const NodeCall& call, Answer answer) {
+  const WorkTimes::Scope scope(&m_work, m_clock, WorkPart::kCalls);
   if (const auto* handover = std::get_if<HandoverCall>(&call)) {
     AnswerHandover(*handover, answer);
     return;
--- a/src/node_link.cc
+++ b/src/node_link.cc
@@ -27,12 +27,14 @@
 }
 
 /// Moves the received bytes to the end of `buffer`.
-void AppendInput(bufferevent* source, std::string* buffer) {
+/// @returns their number.
+std::size_t AppendInput(bufferevent* source, std::string* buffer) {
   evbuffer* const input = bufferevent_get_input(source);
   const std::size_t size = evbuffer_get_length(input);
   const std::size_t before = buffer->size();
   buffer->resize(before + size);
   evbuffer_remove(input, buffer->data() + before, size);
+  return size;
 }
 
 }  // namespace
@@ -101,7 +103,7 @@
 }
 
 void NodeLink::OnIncomingReadable(Incoming* peer) {
-  AppendInput(peer->stream, &peer->input);
+  m_traffic.received += AppendInput(peer->stream, &peer->input);
   const std::shared_ptr<Incoming> shared_peer = m_incoming.at(peer);
   const std::weak_ptr<Incoming> weak = shared_peer;
   bool malformed = false;
@@ -113,6 +115,7 @@
       const auto target = weak.lock();
       if (!target) return;
       const std::string bytes = EncodeNodeFrame({.id = id, .body = std::move(reply)});
+      target->link->m_traffic.sent += bytes.size();
       bufferevent_write(target->stream, bytes.data(), bytes.size());
     });
   }
@@ -156,6 +159,7 @@
   waiting.timer = m_loop->After(timeout, [this, peer, id, timeout] { Expire(peer, id, timeout); });
   connection->waiting.emplace(id, std::move(waiting));
   const std::string bytes = EncodeNodeFrame({.id = id, .body = call});
+  m_traffic.sent += bytes.size();
   bufferevent_write(connection->stream, bytes.data(), bytes.size());
 }
 
@@ -181,7 +185,7 @@
 }
 
 void NodeLink::OnOutgoingReadable(Outgoing* peer) {
-  AppendInput(peer->stream, &peer->input);
+  m_traffic.received += AppendInput(peer->stream, &peer->input);
   const std::shared_ptr<Outgoing> shared_peer = m_outgoing.at(peer->endpoint);
   bool malformed = false;
   while (auto frame = TakeNodeFrame(&shared_peer->input, &malformed)) {
--- a/src/node_link.h
+++ b/src/node_link.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 
+#include "async_http.h"
 #include "event_loop.h"
 #include "node_calls.h"
 
@@ -39,6 +40,9 @@
   /// shorter than config::kLinkTimeoutMs.
   void Call(const Endpoint& peer, const NodeCall& call, Milliseconds timeout, Callback callback);
 
+  /// @returns the bytes of all frames, of calls to peers and of their calls.
+  const Traffic& traffic() const { return m_traffic; }
+
  private:
   struct Outgoing;
   struct Incoming;
@@ -56,6 +60,7 @@
   std::map<Endpoint, std::shared_ptr<Outgoing>> m_outgoing;
   std::map<Incoming*, std::shared_ptr<Incoming>> m_incoming;
   std::uint64_t m_next_id = 1;
+  Traffic m_traffic;
 };
 
 }  // namespace endivewood
--- a/src/store_calls.h
+++ b/src/store_calls.h
@@ -72,6 +72,9 @@
 using StoreCall =
     std::variant<AppendKeyed, ClaimEpoch, ReadNewest, ReadKeyed, JoinGroup, LeaveGroup, ListOwners>;
 
+/// @returns the name of a call for logs, with its topic where there is one.
+std::string StoreCallName(const StoreCall& call);
+
 enum class StoreStatus : std::uint8_t {
   kOk = 0,
   kNoAnswer,  ///< The call may have been executed, or may still be seconds later.
--- a/tests/platform_wire_test.cc
+++ b/tests/platform_wire_test.cc
@@ -30,6 +30,10 @@
 addr = "127.0.0.1:8700"
 [bounds]
 hold_max_ms = 6000
+[limits]
+cpu_share = 0.12
+cores = 2
+link_mbps = 10
 )";
 
 constexpr char kConfig[] =
@@ -63,6 +67,8 @@
   REQUIRE(settings);
   CHECK(settings->callers == Endpoint{.address = "127.0.0.1", .port = 8624});
   CHECK(settings->max_lease == Milliseconds(6000));
+  CHECK(settings->cpu_millicores == 240);
+  CHECK(settings->link_mbps == 10);
   std::string broken = kSettings;
   broken.replace(broken.find("\"127.0.0.1:8621\""), 16, "8621");
   CHECK_FALSE(ParsePlatformSettings(broken, "node.toml", &errors));
