Don't cut calls that make progress

What callers saw: 404 for a queue of a version acknowledged more than 3 s before (CONFIG), from one instance for seconds.

Cause: a call had one timeout for the whole exchange. A read of the operators' topic with a large configuration (up to 262 kB), on an instance that is busy with its link or its processor, needed longer than the 1.7 s; it was cut and began anew at the first byte, under the same conditions. The same holds for the registry, for loading a partition after a change of its holder (1 MB pages within 1 s on a link of 1.25 MB/s can never succeed), and for appends.

Change: a timeout of AsyncHttpClient is the time without progress. A call that is still sending or receiving goes on, up to 8 timeouts. Three tests: two failed before (a large answer that arrives slowly was cut; the limit), the third failed because the time counted from the start of the call.

--- a/src/async_http.cc
+++ b/src/async_http.cc
@@ -13,6 +13,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "config.h"
 #include "socket_options.h"
 
 namespace endivewood {
@@ -77,6 +78,9 @@
   Callback callback;
   Milliseconds timeout{0};
   EventLoop::TimerId timer = 0;
+  int timeouts = 0;          ///< Expired timeouts, including those after which it went on.
+  std::size_t unsent = 0;    ///< Bytes of the request in the output buffer at the last timeout.
+  std::size_t received = 0;  ///< Bytes of the answer in the input buffer at the last timeout.
 };
 
 struct AsyncHttpClient::Connection {
@@ -115,27 +119,48 @@
   pending->callback = std::move(callback);
   pending->timeout = timeout;
   Pending* const raw = pending.get();
-  pending->timer = m_loop->After(timeout, [this, target, raw] {
-    raw->timer = 0;
-    const HttpOutcome outcome{
-        .reply = std::nullopt, .failure = CallFailure::kTimeout, .detail = "timeout"};
-    for (const auto& connection : target->connections) {
-      if (connection->pending.get() != raw) continue;
-      Finish(connection.get(), outcome);
-      return;
-    }
-    const auto waiting = std::find_if(target->waiting.begin(), target->waiting.end(),
-                                      [&](const auto& each) { return each.get() == raw; });
-    if (waiting == target->waiting.end()) return;
-    const std::unique_ptr<Pending> expired = std::move(*waiting);
-    target->waiting.erase(waiting);
-    expired->callback(
-        {.reply = std::nullopt, .failure = CallFailure::kNotSent, .detail = "no connection free"});
-  });
+  pending->timer = m_loop->After(timeout, [this, target, raw] { Expire(target, raw); });
   target->waiting.push_back(std::move(pending));
   Dispatch(target);
 }
 
+void AsyncHttpClient::Expire(Peer* peer, Pending* pending) {
+  pending->timer = 0;
+  for (const auto& connection : peer->connections) {
+    if (connection->pending.get() != pending) continue;
+    if (MakesProgress(connection.get())) {
+      pending->timer =
+          m_loop->After(pending->timeout, [this, peer, pending] { Expire(peer, pending); });
+      return;
+    }
+    Finish(connection.get(),
+           {.reply = std::nullopt, .failure = CallFailure::kTimeout, .detail = "timeout"});
+    return;
+  }
+  const auto waiting = std::find_if(peer->waiting.begin(), peer->waiting.end(),
+                                    [&](const auto& each) { return each.get() == pending; });
+  if (waiting == peer->waiting.end()) return;
+  const std::unique_ptr<Pending> expired = std::move(*waiting);
+  peer->waiting.erase(waiting);
+  expired->callback(
+      {.reply = std::nullopt, .failure = CallFailure::kNotSent, .detail = "no connection free"});
+}
+
+/// @returns whether part of the request has left, or part of the answer has arrived, since the last
+/// timeout. A repeated call would transfer the same bytes again.
+bool AsyncHttpClient::MakesProgress(Connection* connection) {
+  Pending& pending = *connection->pending;
+  bufferevent* const stream = evhttp_connection_get_bufferevent(connection->handle);
+  const std::size_t unsent = evbuffer_get_length(bufferevent_get_output(stream));
+  const std::size_t received = evbuffer_get_length(bufferevent_get_input(stream));
+  // With the whole request sent and nothing received, nothing shows that the peer is there.
+  const bool sending = unsent > 0 && unsent < pending.unsent;
+  const bool receiving = received > pending.received;
+  pending.unsent = unsent;
+  pending.received = received;
+  return (sending || receiving) && ++pending.timeouts < config::kMaxTransferTimeouts;
+}
+
 void AsyncHttpClient::Dispatch(Peer* peer) {
   while (!peer->waiting.empty()) {
     Connection* idle = nullptr;
@@ -175,6 +200,8 @@
       message.query.empty() ? message.path : message.path + "?" + message.query;
   m_traffic.sent += SizeOf(target.size(), message.headers, message.body);
   connection->request = request;
+  // The output buffer stays empty until the connection is established.
+  pending->unsent = message.body.size();
   connection->pending = std::move(pending);
   const evhttp_cmd_type command = CommandOf(connection->pending->request.method);
   if (evhttp_make_request(connection->handle, request, command, target.c_str()) == 0) return;
--- a/src/async_http.h
+++ b/src/async_http.h
@@ -37,9 +37,10 @@
   AsyncHttpClient(EventLoop* loop, const AsyncHttpClientOptions& options);
   ~AsyncHttpClient();
 
-  /// Sends one request. The callback runs exactly once, after this has returned. A call without a
-  /// complete answer within `timeout` fails with a timeout, and its connection is closed, so that a
-  /// late answer is never taken for the answer to another call.
+  /// Sends one request. The callback runs exactly once, after this has returned. A call fails with
+  /// a timeout, and its connection is closed, once it has made no progress for `timeout`, or at the
+  /// latest after kMaxTransferTimeouts times as long. A late answer is therefore never taken for
+  /// the answer to another call, and a large one isn't cut while it arrives.
   void Call(const Endpoint& peer, HttpRequest request, Milliseconds timeout, Callback callback);
 
   /// Closes connections to peers that have not been called for the idle timeout.
@@ -53,6 +54,8 @@
   struct Pending;
   struct Peer;
 
+  void Expire(Peer* peer, Pending* pending);
+  static bool MakesProgress(Connection* connection);
   void Dispatch(Peer* peer);
   void Send(Peer* peer, Connection* connection, std::unique_ptr<Pending> pending);
   void Finish(Connection* connection, HttpOutcome outcome);
--- a/src/config.h
+++ b/src/config.h
@@ -475,6 +475,10 @@
 /// Timeout of a call to the store in milliseconds. A slow store answers within about 300 ms.
 inline constexpr std::int64_t kStoreTimeoutMs = 1000;
 
+/// Maximum duration of a call that makes progress, in timeouts of the call: the largest answer of
+/// the store, 1 MB, at a quarter of a link of 10 Mbit/s takes 3.2 s.
+inline constexpr int kMaxTransferTimeouts = 8;
+
 /// Milliseconds before a failed call to the store is retried.
 inline constexpr std::int64_t kStoreRetryMs = 150;
 
--- a/tests/async_http_test.cc
+++ b/tests/async_http_test.cc
@@ -11,6 +11,8 @@
 #include <string>
 #include <thread>
 
+#include "config.h"
+
 namespace endivewood::testing {
 namespace {
 
@@ -85,5 +87,105 @@
   CHECK(server.last_error != 0);
 }
 
+/// Accepts one connection and answers it piece by piece; then keeps it open until it is closed.
+class SlowServer {
+ public:
+  SlowServer(std::size_t announced, std::size_t pieces, std::size_t piece_size,
+             std::chrono::milliseconds gap)
+      : m_announced(announced), m_pieces(pieces), m_piece_size(piece_size), m_gap(gap) {
+    const int on = 1;
+    setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(kPort);
+    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+    REQUIRE(bind(m_listener, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
+    REQUIRE(listen(m_listener, 1) == 0);
+    m_thread = std::thread([this] { Serve(); });
+  }
+  ~SlowServer() {
+    m_thread.join();
+    close(m_listener);
+  }
+
+ private:
+  void Serve() {
+    const int connection = accept(m_listener, nullptr, nullptr);
+    char bytes[4096];
+    recv(connection, bytes, sizeof(bytes), 0);
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(m_announced) + "\r\n\r\n";
+    send(connection, head.data(), head.size(), MSG_NOSIGNAL);
+    const std::string piece(m_piece_size, 'x');
+    for (std::size_t i = 0; i < m_pieces; ++i) {
+      std::this_thread::sleep_for(m_gap);
+      if (send(connection, piece.data(), piece.size(), MSG_NOSIGNAL) < 0) break;
+    }
+    while (recv(connection, bytes, sizeof(bytes), 0) > 0) {
+    }
+    close(connection);
+  }
+
+  std::size_t m_announced;
+  std::size_t m_pieces;
+  std::size_t m_piece_size;
+  std::chrono::milliseconds m_gap;
+  int m_listener = socket(AF_INET, SOCK_STREAM, 0);
+  std::thread m_thread;
+};
+
+struct TimedOutcome {
+  std::optional<HttpOutcome> outcome;
+  Milliseconds took{0};
+};
+
+TimedOutcome GetWithTimeout(Milliseconds timeout) {
+  Clock clock;
+  EventLoop loop;
+  AsyncHttpClient client(&loop, {.max_connections = 1});
+  TimedOutcome result;
+  client.Call({.address = "127.0.0.1", .port = kPort},
+              {.method = "GET", .path = "/large", .query = "", .headers = {}, .body = ""}, timeout,
+              [&](const HttpOutcome& outcome) {
+                result.outcome = outcome;
+                result.took = clock.Now();
+                loop.After(Milliseconds(10), [&] { loop.Stop(); });
+              });
+  loop.After(Milliseconds(10000), [&] { loop.Stop(); });
+  loop.Run();
+  return result;
+}
+
+// Guards against a large configuration that an instance never reads, because each read is cut
+// before the transfer is complete and begins anew.
+TEST_CASE("an answer that takes longer than the timeout is read while bytes arrive") {
+  const SlowServer server(60000, 6, 10000, std::chrono::milliseconds(100));
+  const TimedOutcome result = GetWithTimeout(Milliseconds(250));
+  REQUIRE(result.outcome);
+  REQUIRE(result.outcome->reply);
+  CHECK(result.outcome->reply->body.size() == 60000);
+}
+
+// Guards against a connection that goes silent in the middle of an answer and is waited for.
+TEST_CASE("an answer that stops in the middle fails one timeout after its last bytes") {
+  const SlowServer server(60000, 3, 10000, std::chrono::milliseconds(100));
+  const TimedOutcome result = GetWithTimeout(Milliseconds(250));
+  REQUIRE(result.outcome);
+  CHECK_FALSE(result.outcome->reply);
+  CHECK(result.outcome->failure == CallFailure::kTimeout);
+  CHECK(result.took >= Milliseconds(500));
+  CHECK(result.took < Milliseconds(1000));
+}
+
+// Guards against a peer that sends a few bytes now and then and occupies a connection for good.
+TEST_CASE("an answer is given up after config::kMaxTransferTimeouts timeouts") {
+  const SlowServer server(60000, 100, 10, std::chrono::milliseconds(40));
+  const TimedOutcome result = GetWithTimeout(Milliseconds(100));
+  REQUIRE(result.outcome);
+  CHECK_FALSE(result.outcome->reply);
+  CHECK(result.took > Milliseconds(100 * (config::kMaxTransferTimeouts - 1)));
+  CHECK(result.took < Milliseconds(100 * (config::kMaxTransferTimeouts + 4)));
+}
+
 }  // namespace
 }  // namespace endivewood::testing
