Hold partitions on the larger instances

Cause: the group assigns partitions without regard to size, and the holder of a partition schedules a whole service. On the grown deployments 31 of 39 instances have 0.12 cores and 10 Mbit/s, 8 have 0.5 cores and 200 Mbit/s. A peak needs over 1.2 MB/s of orders and more than a tenth of a core, so with a small holder its orders, leases, appends and reads wait behind each other. Class of fault: work is concentrated on an instance without a look at what the instance can carry.

Change: an instance's holding capacity is part of its member name. An instance leaves the group while at least two much larger instances with enough capacity hold partitions, joins again when too few are left, and answers callers all the while. Larger instances join earlier after a start. Instances of similar or unknown size all hold partitions as before.

Measured: without the decision the two new node tests fail (the small instance keeps its claims).

--- a/src/config.h
+++ b/src/config.h
@@ -472,6 +472,30 @@
 inline constexpr std::int64_t kMemberTtlMs = 1500;
 inline constexpr std::int64_t kJoinIntervalMs = 400;
 
+/// Millicores that count as much as one Mbit/s when instances are compared: an instance of a tenth
+/// of a core and 10 Mbit/s reaches the limits of both with the same load.
+inline constexpr int kMillicoresPerMbps = 10;
+
+/// A holder of this many times an instance's capacity is much larger, and an instance leaves the
+/// partitions to at least kMinLargerHolders of them, so that the loss of one moves no partition to
+/// a small instance.
+inline constexpr int kMuchLargerFactor = 2;
+inline constexpr int kMinLargerHolders = 2;
+
+/// Total capacity of much larger holders, in multiples of an instance's own, with which it leaves
+/// the group and below which it joins again. A deployment has five services and the planner.
+inline constexpr std::int64_t kEnoughLargerCapacity = 8;
+inline constexpr std::int64_t kScarceLargerCapacity = 4;
+
+/// An instance joins this number divided by its capacity, in milliseconds, after its start, at most
+/// kMaxJoinDelayMs: 100 ms with 500 millicores, time for a list of the holders.
+inline constexpr std::int64_t kJoinDelayTimesCapacity = 50000;
+inline constexpr std::int64_t kMaxJoinDelayMs = 500;
+
+/// Interval in milliseconds at which an instance outside the group reads the list of holders: below
+/// a membership's time to live, so that it joins soon after the larger holders are gone.
+inline constexpr std::int64_t kStandbyOwnersIntervalMs = 1000;
+
 /// Timeout of a call to the store in milliseconds. A slow store answers within about 300 ms.
 inline constexpr std::int64_t kStoreTimeoutMs = 1000;
 
--- a/src/job_node.cc
+++ b/src/job_node.cc
@@ -13,9 +13,19 @@
 
 constexpr int kPlannerPartition = 0;
 
-/// A member's name holds its peer endpoint and a random part that differs at every process start.
-std::string MemberName(const Endpoint& endpoint) {
-  return endpoint.str() + "/" + RandomHex128().substr(0, 12);
+/// A member's name holds its peer endpoint, its holding capacity and a random part that differs
+/// each time that a process joins the group.
+std::string MemberName(const Endpoint& endpoint, const InstanceCapacity& capacity) {
+  return endpoint.str() + "/" + std::to_string(HoldingCapacity(capacity)) + "/" +
+         RandomHex128().substr(0, 12);
+}
+
+/// @returns the holding capacity in a member's name; 0 if it isn't known.
+int CapacityOfMember(const std::string& member) {
+  const std::size_t first = member.find('/');
+  const std::size_t second = first == std::string::npos ? first : member.find('/', first + 1);
+  if (second == std::string::npos) return 0;
+  return std::atoi(member.substr(first + 1, second - first - 1).c_str());
 }
 
 std::optional<Endpoint> EndpointOfMember(const std::string& member) {
@@ -37,11 +47,7 @@
       m_clock(clock),
       m_options(std::move(options)),
       m_callbacks(std::move(callbacks)),
-      m_membership({.group = m_options.names.group,
-                    .member = MemberName(m_options.peer_endpoint),
-                    .topic = m_options.names.job_topic,
-                    .ttl = Milliseconds(config::kMemberTtlMs),
-                    .join_interval = Milliseconds(config::kJoinIntervalMs)}),
+      m_membership(NewMembershipOptions()),
       m_operators({.partition = m_options.names.operators,
                    .wait = Milliseconds(config::kConfigWaitMs),
                    .min_interval = Milliseconds(config::kForwardRetryMs)}),
@@ -50,8 +56,17 @@
                   .min_interval = Milliseconds(config::kRegistryIntervalMs)}),
       m_instance_orders(m_options.min_holder_gap) {}
 
+GroupMembershipOptions JobNode::NewMembershipOptions() const {
+  return {.group = m_options.names.group,
+          .member = MemberName(m_options.peer_endpoint, m_options.capacity),
+          .topic = m_options.names.job_topic,
+          .ttl = Milliseconds(config::kMemberTtlMs),
+          .join_interval = Milliseconds(config::kJoinIntervalMs)};
+}
+
 void JobNode::Start() {
-  m_last_store_answer = m_clock->Now();
+  m_started = m_clock->Now();
+  m_last_store_answer = m_started;
   m_link = std::make_unique<NodeLink>(m_loop, m_options.peer_endpoint,
                                       [this](const NodeCall& call, NodeLink::Responder respond) {
                                         AnswerLocally(call, std::move(respond));
@@ -71,7 +86,14 @@
 
 void JobNode::BeginStop() {
   m_stopping = true;
-  for (auto& [partition, term] : m_terms) term->End("stopping");
+  LeaveMembership();
+  ScheduleTick(Milliseconds(config::kForwardRetryMs));
+}
+
+/// Ends all terms and leaves the group. A late execution of the call doesn't affect a later
+/// membership, which has a name of its own.
+void JobNode::LeaveMembership() {
+  for (auto& [partition, term] : m_terms) term->End("leaving the group");
   m_terms.clear();
   m_planner.reset();
   const GroupMembershipOptions& group = m_membership.options();
@@ -80,8 +102,9 @@
               LogEvent(Event::kMembershipChanged,
                        {{"cause", "leave"}, {"status", StoreStatusName(reply.status)}});
             });
+  m_member = false;
+  m_membership = GroupMembership(NewMembershipOptions());
   m_owners_refresh_requested = true;
-  ScheduleTick(Milliseconds(config::kForwardRetryMs));
 }
 
 Milliseconds JobNode::UnixOffset() const { return m_clock->UnixTime() - m_clock->Now(); }
@@ -124,8 +147,11 @@
   AskPeersForOwners(now);
   RunTerms(now);
   RunPlanner(now);
-  Milliseconds next = now + Milliseconds(config::kOwnersIntervalMs);
-  next = std::min({next, m_operators.NextDue(), m_membership.NextDue()});
+  Milliseconds next = now + Milliseconds(config::kStandbyOwnersIntervalMs);
+  next = std::min(next, m_operators.NextDue());
+  if (m_member) next = std::min(next, m_membership.NextDue());
+  const Milliseconds join_at = m_started + JoinDelay(HoldingCapacity(m_options.capacity));
+  if (join_at > now) next = std::min(next, join_at);
   if (!m_terms.empty()) next = std::min(next, m_registry.NextDue());
   for (const auto& [partition, term] : m_terms) {
     next = std::min(next, term->NextDue());
@@ -186,22 +212,53 @@
   }
 }
 
+/// @returns the holding capacities of the other members that hold partitions.
+std::vector<int> JobNode::OtherHolders() const {
+  std::vector<int> others;
+  for (const auto& [member, capacity] : *m_holder_capacities) {
+    if (member != m_membership.options().member) others.push_back(capacity);
+  }
+  return others;
+}
+
 void JobNode::UpdateMembership(Milliseconds now) {
   if (m_stopping) return;
-  if (const auto call = m_membership.TakeCall(now)) {
-    CallStore(*call, Milliseconds(config::kStoreTimeoutMs), [this](const StoreReply& reply) {
-      if (m_stopping) return;
-      const std::uint64_t before = m_membership.generation();
-      m_membership.OnReply(reply, m_clock->Now());
-      if (m_membership.generation() != before) {
-        LogEvent(Event::kMembershipChanged, {{"cause", "join"},
-                                             {"generation", m_membership.generation()},
-                                             {"held", m_membership.held().size()}});
-        m_owners_refresh_requested = true;
-      }
-      ScheduleTick(Milliseconds{0});
-    });
+  const int own = HoldingCapacity(m_options.capacity);
+  const bool may_decide = m_holder_capacities && now >= m_started + JoinDelay(own);
+  const bool hold = may_decide ? ShouldHold(own, OtherHolders(), m_member) : m_member;
+  if (hold != m_member) {
+    LogEvent(Event::kMembershipChanged, {{"cause", hold ? "holding" : "standby"},
+                                         {"capacity", own},
+                                         {"holders", m_holder_capacities->size()},
+                                         {"held", m_membership.held().size()}});
+    if (!hold) LeaveMembership();
+    m_member = hold;
   }
+  if (!m_member) return;
+  JoinGroupIfDue(now);
+  EndLostTerms();
+  BeginNewTerms(now);
+}
+
+void JobNode::JoinGroupIfDue(Milliseconds now) {
+  const auto call = m_membership.TakeCall(now);
+  if (!call) return;
+  CallStore(*call, Milliseconds(config::kStoreTimeoutMs),
+            [this, member = call->member](const StoreReply& reply) {
+              if (m_stopping || member != m_membership.options().member) return;
+              const std::uint64_t before = m_membership.generation();
+              m_membership.OnReply(reply, m_clock->Now());
+              if (m_membership.generation() != before) {
+                LogEvent(Event::kMembershipChanged, {{"cause", "join"},
+                                                     {"generation", m_membership.generation()},
+                                                     {"held", m_membership.held().size()}});
+                m_owners_refresh_requested = true;
+              }
+              ScheduleTick(Milliseconds{0});
+            });
+}
+
+void JobNode::EndLostTerms() {
   for (auto it = m_terms.begin(); it != m_terms.end();) {
     const auto held = m_membership.held().find(it->first);
     const bool still_held = held != m_membership.held().end();
@@ -214,6 +271,9 @@
     }
     ++it;
   }
+}
+
+void JobNode::BeginNewTerms(Milliseconds now) {
   for (const auto& [partition, epoch] : m_membership.held()) {
     if (m_terms.count(partition) > 0) continue;
     const PartitionTermOptions options{
@@ -230,7 +290,8 @@
 }
 
 void JobNode::RefreshOwners(Milliseconds now) {
-  const Milliseconds interval(config::kOwnersIntervalMs);
+  const Milliseconds interval(m_member ? config::kOwnersIntervalMs
+                                       : config::kStandbyOwnersIntervalMs);
   const bool due = m_owners_refresh_requested
                        ? m_owners_requested_at + Milliseconds(config::kForwardRetryMs) <= now
                        : m_owners_requested_at + interval <= now;
@@ -241,18 +302,30 @@
   CallStore(ListOwners{.group = m_options.names.group}, Milliseconds(config::kStoreTimeoutMs),
             [this](const StoreReply& reply) {
               m_owners_in_flight = false;
-              if (reply.status != StoreStatus::kOk) return;
-              std::map<int, Endpoint> owners;
-              const std::uint64_t generation = m_membership.generation();
-              for (const PartitionOwner& owner : reply.owners) {
-                if (owner.partition.topic != m_options.names.job_topic) continue;
-                const auto endpoint = EndpointOfMember(owner.member);
-                if (endpoint) owners[owner.partition.number] = *endpoint;
-              }
-              SetOwners(std::move(owners), generation);
+              OnOwners(reply);
+              ScheduleTick(Milliseconds{0});
             });
 }
 
+void JobNode::OnOwners(const StoreReply& reply) {
+  if (reply.status != StoreStatus::kOk) {
+    // Without a first list the instance can't decide whether to join.
+    if (!m_holder_capacities) m_owners_refresh_requested = true;
+    return;
+  }
+  std::map<int, Endpoint> owners;
+  std::map<std::string, int> capacities;
+  for (const PartitionOwner& owner : reply.owners) {
+    if (owner.partition.topic != m_options.names.job_topic) continue;
+    const auto endpoint = EndpointOfMember(owner.member);
+    if (!endpoint) continue;
+    owners[owner.partition.number] = *endpoint;
+    capacities[owner.member] = CapacityOfMember(owner.member);
+  }
+  m_holder_capacities = std::move(capacities);
+  SetOwners(std::move(owners), m_membership.generation());
+}
+
 void JobNode::AskPeersForOwners(Milliseconds now) {
   const bool store_silent = now - m_last_store_answer > Milliseconds(config::kStoreUnreachableMs);
   if (!store_silent || m_owners.empty()) return;
--- a/src/job_node.h
+++ b/src/job_node.h
@@ -11,6 +11,7 @@
 #include "event_loop.h"
 #include "fleet_catalog.h"
 #include "group_membership.h"
+#include "holder_choice.h"
 #include "instance_orders.h"
 #include "keyed_follower.h"
 #include "machine_calls.h"
@@ -56,6 +57,7 @@
 struct JobNodeOptions {
   std::string name;
   Endpoint peer_endpoint;  ///< Where other instances call this one.
+  InstanceCapacity capacity;
   int partitions = 16;
   Milliseconds lease{4000};
   Milliseconds max_lease{10000};
@@ -103,9 +105,16 @@
   void ReportDelay(Milliseconds now);
   void ScheduleTick(Milliseconds delay);
   void PollFollowers(Milliseconds now);
+  GroupMembershipOptions NewMembershipOptions() const;
   void UpdateMembership(Milliseconds now);
+  void JoinGroupIfDue(Milliseconds now);
+  void LeaveMembership();
+  void EndLostTerms();
+  void BeginNewTerms(Milliseconds now);
+  std::vector<int> OtherHolders() const;
   void RefreshOwners(Milliseconds now);
   void AskPeersForOwners(Milliseconds now);
+  void OnOwners(const StoreReply& reply);
   void SetOwners(std::map<int, Endpoint> owners, std::uint64_t generation);
   void RunTerms(Milliseconds now);
   void RunTerm(PartitionTerm* term, Milliseconds now);
@@ -138,6 +147,11 @@
   PlatformCallbacks m_callbacks;
   std::unique_ptr<NodeLink> m_link;
   GroupMembership m_membership;
+  bool m_member = false;  ///< Whether this instance takes part in the group.
+  Milliseconds m_started{0};
+  /// Holding capacities of the members that hold partitions, by their names; no value until the
+  /// list of holders has been read.
+  std::optional<std::map<std::string, int>> m_holder_capacities;
   KeyedFollower m_operators;
   KeyedFollower m_registry;
   std::shared_ptr<const FleetCatalog> m_catalog;
--- a/src/job_node_calls.cc
+++ b/src/job_node_calls.cc
@@ -133,7 +133,8 @@
 
 void JobNode::AnswerHandover(const HandoverCall& call, const Answer& answer) {
   NodeReply reply{.status = NodeStatus::kOk};
-  // A different member name belongs to an earlier incarnation of this process, which has exited.
+  // A different member name belongs to an earlier incarnation of this process, which has exited, or
+  // to an earlier membership, whose terms have ended.
   if (call.member == m_membership.options().member) {
     const auto term = m_terms.find(call.partition);
     if (term != m_terms.end() && term->second->options().epoch >= call.epoch) {
@@ -145,8 +146,8 @@
       return;
     }
     if (term != m_terms.end()) term->second->End("handed over");
-    reply.recent_orders = m_instance_orders.RecentAt(m_clock->Now());
   }
+  reply.recent_orders = m_instance_orders.RecentAt(m_clock->Now());
   ScheduleTick(Milliseconds{0});
   answer(std::move(reply));
 }
--- a/tests/job_node_test.cc
+++ b/tests/job_node_test.cc
@@ -21,6 +21,7 @@
     }
     if (const auto* join = std::get_if<JoinGroup>(&call)) member = join->member;
     if (const auto* claim = std::get_if<ClaimEpoch>(&call)) claims.push_back(*claim);
+    if (const auto* leave = std::get_if<LeaveGroup>(&call)) left.push_back(leave->member);
     m_loop->After(Milliseconds(1), [callback, reply = Answer(call)] { callback(reply); });
   }
 
@@ -29,14 +30,17 @@
   int appends_before_call = 0;  ///< Appends up to this count are always answered.
   std::string member;           ///< The node's member name in the group.
   std::vector<ClaimEpoch> claims;
+  std::vector<std::string> left;  ///< Members that have left the group.
+  std::vector<PartitionOwner> owners;
 
  private:
-  static StoreReply Answer(const StoreCall& call) {
+  StoreReply Answer(const StoreCall& call) const {
     StoreReply reply{.status = StoreStatus::kOk};
     if (std::holds_alternative<JoinGroup>(call)) {
       reply.generation = 3;
       for (int partition = 0; partition < 4; ++partition) reply.held.push_back({"jobs", partition});
     }
+    if (std::holds_alternative<ListOwners>(call)) reply.owners = owners;
     const auto* newest = std::get_if<ReadNewest>(&call);
     if (newest != nullptr && newest->partition.topic == "operators") {
       reply.records = {{.key = "config", .value = "x"}};
@@ -49,11 +53,12 @@
 
 class NodeFixture {
  public:
-  explicit NodeFixture(std::uint16_t port) : store(&loop) {
+  explicit NodeFixture(std::uint16_t port, const InstanceCapacity& capacity = {}) : store(&loop) {
     SilenceEvents();
     JobNodeOptions options;
     options.name = "node";
     options.peer_endpoint = {.address = "127.0.0.1", .port = port};
+    options.capacity = capacity;
     options.partitions = 4;
     options.planner.move_instances = false;
     options.names = {.operators = {"operators", 0},
@@ -171,5 +176,47 @@
   CHECK(claims[0].epoch > first);
 }
 
+constexpr InstanceCapacity kSmallInstance{.cpu_millicores = 120, .link_mbps = 10};
+
+/// Member names of other instances, with their capacities.
+const std::vector<PartitionOwner> kLargeOwners = {
+    {.partition = {"jobs", 0}, .member = "127.0.0.1:1/500/a"},
+    {.partition = {"jobs", 1}, .member = "127.0.0.1:2/500/b"}};
+
+// Guards against a service that is scheduled by one of the smallest instances, whose link and
+// processor a peak fills, while larger ones idle.
+TEST_CASE("a small instance hands its partitions to larger holders and keeps out of the group") {
+  NodeFixture fixture(21916, kSmallInstance);
+  std::size_t claims = 0;
+  fixture.loop.After(Milliseconds(800), [&] {
+    claims = fixture.store.claims.size();
+    fixture.store.owners = kLargeOwners;
+  });
+  std::size_t claims_after = 0;
+  fixture.loop.After(Milliseconds(5000), [&] {
+    claims_after = fixture.store.claims.size();
+    fixture.loop.Stop();
+  });
+  fixture.loop.Run();
+  CHECK(claims == 4);
+  CHECK(claims_after == 4);
+  CHECK(fixture.store.left == std::vector<std::string>{fixture.store.member});
+}
+
+// Guards against partitions without a holder once the larger instances are gone.
+TEST_CASE("a small instance joins when no larger holders are left") {
+  NodeFixture fixture(21917, kSmallInstance);
+  fixture.store.owners = kLargeOwners;
+  std::size_t claims_before = 0;
+  fixture.loop.After(Milliseconds(1500), [&] {
+    claims_before = fixture.store.claims.size();
+    fixture.store.owners.clear();
+  });
+  fixture.loop.After(Milliseconds(3500), [&] { fixture.loop.Stop(); });
+  fixture.loop.Run();
+  CHECK(claims_before == 0);
+  CHECK(fixture.store.claims.size() == 4);
+}
+
 }  // namespace
 }  // namespace endivewood::testing
