Count releases for moves apart from those for waves

Cause: a pool releases at most 8 instances at a time for moves, and the releases that a maintenance wave waits for were counted against these 8. A wave may release a quarter of a pool. In pools of 8 to 12 instances that is 2; in a pool of 200 it is 50, so no instance left the pool while the wave went on, and a pool at its peak stayed at 18 instances for 6 s with a need of 116 to 231. Class of fault: a limit that is right for small pools only.

Change: releases for waves and for moves are counted apart, and the limit of moves grows with the pool like that of waves.

Measured: the new test fails before the change (0 of 30 instances requested).

--- a/src/config.h
+++ b/src/config.h
@@ -447,12 +447,11 @@
 inline constexpr std::int64_t kReleaseIntervalMs = 250;
 inline constexpr std::int64_t kReleaseValidMs = 300;
 
-/// Maximum number of a service's instances that are released at a time: for maintenance, the larger
-/// of kMinReleasesPerService and one in kReleasePoolDivisor of its instances; for moves,
-/// kMovesPerService.
+/// Maximum number of a service's instances that are released at a time, each for maintenance and for
+/// moves: one in kReleasePoolDivisor, and at least the minimum of that kind.
 inline constexpr int kMinReleasesPerService = 2;
+inline constexpr int kMinMovesPerService = 8;
 inline constexpr int kReleasePoolDivisor = 4;
-inline constexpr int kMovesPerService = 8;
 
 /// Estimated duration in milliseconds of an instance's maintenance and its release before: short
 /// tasks end within kReleaseGraceMs, and the platform's maintenance takes about 2 s.
--- a/src/maintenance_planner.cc
+++ b/src/maintenance_planner.cc
@@ -225,14 +225,24 @@
   return machine.upstream.valid() && (spare == nullptr || machine.pool != spare->name);
 }
 
-int MaintenancePlanner::CountReleases(const ServiceName& service) const {
+int MaintenancePlanner::CountReleases(const ServiceName& service, ReleaseKind kind) const {
   return static_cast<int>(
       std::count_if(m_pending_releases.begin(), m_pending_releases.end(), [&](auto& entry) {
+        const bool for_wave = entry.second.wave.has_value();
+        if (for_wave != (kind == ReleaseKind::kWave)) return false;
         const auto machine = m_machines.find(entry.first);
         return machine != m_machines.end() && machine->second.pool == service;
       }));
 }
 
+/// Returns how many of a service's instances may be released at a time for one kind of work.
+int MaintenancePlanner::ReleaseLimitOf(const ServiceName& service, int minimum) const {
+  const auto instances = m_release_order.find(service);
+  if (instances == m_release_order.end()) return minimum;
+  return std::max(minimum,
+                  static_cast<int>(instances->second.size()) / config::kReleasePoolDivisor);
+}
+
 Milliseconds MaintenancePlanner::ReleaseTimeOf(const MachineEntry& machine) const {
   if (!NeedsRelease(machine)) return Milliseconds{0};
   const auto service = m_release_order.find(machine.pool);
@@ -256,12 +266,8 @@
 bool MaintenancePlanner::MayRelease(const MachineEntry& machine, int in_maintenance,
                                     int concurrency) const {
   if (!NeedsRelease(machine)) return true;
-  const int limit = std::max(config::kMinReleasesPerService,
-                             m_release_order.count(machine.pool) == 0
-                                 ? 0
-                                 : static_cast<int>(m_release_order.at(machine.pool).size()) /
-                                       config::kReleasePoolDivisor);
-  if (CountReleases(machine.pool) >= limit) return false;
+  const int limit = ReleaseLimitOf(machine.pool, config::kMinReleasesPerService);
+  if (CountReleases(machine.pool, ReleaseKind::kWave) >= limit) return false;
   if (in_maintenance < concurrency) return true;
   // An idle instance that its pool doesn't need can be released at any time.
   const auto need = m_sizing.CurrentNeedOf(machine.pool);
@@ -366,7 +372,8 @@
   for (const PoolMove& move : m_sizing.Decide(PoolSizes(), spare_name, now)) {
     const MachineEntry* const chosen = ChooseInstanceToMove(move.from);
     if (chosen == nullptr) continue;
-    if (NeedsRelease(*chosen) && CountReleases(move.from) >= config::kMovesPerService) continue;
+    const int limit = ReleaseLimitOf(move.from, config::kMinMovesPerService);
+    if (NeedsRelease(*chosen) && CountReleases(move.from, ReleaseKind::kMove) >= limit) continue;
     PendingRelease release{.wave = std::nullopt, .target = move.to, .since = now};
     if (!NeedsRelease(*chosen)) release.released_at = now;
     m_pending_releases.emplace(chosen->instance, release);
--- a/src/maintenance_planner.h
+++ b/src/maintenance_planner.h
@@ -81,6 +81,7 @@
     Milliseconds asked_at{-1000};
     std::optional<Milliseconds> released_at;
   };
+  enum class ReleaseKind : std::uint8_t { kWave = 0, kMove };
   /// An order that the platform's list of instances doesn't show yet.
   struct PendingOrder {
     std::optional<std::uint64_t> wave;
@@ -97,7 +98,8 @@
   void RunReleases(Milliseconds now, bool may_order, const InstanceOrders& orders);
   void IssueOrder(const InstanceName& instance, const PendingRelease& release, Milliseconds now);
   bool NeedsRelease(const MachineEntry& machine) const;
-  int CountReleases(const ServiceName& service) const;
+  int CountReleases(const ServiceName& service, ReleaseKind kind) const;
+  int ReleaseLimitOf(const ServiceName& service, int minimum) const;
   std::map<ServiceName, int> PoolSizes() const;
   const MachineEntry* ChooseInstanceToMove(const ServiceName& from) const;
   Milliseconds ReleaseTimeOf(const MachineEntry& machine) const;
--- a/tests/maintenance_planner_test.cc
+++ b/tests/maintenance_planner_test.cc
@@ -45,6 +45,7 @@
     for (const NodeCall& call : planner->TakeNodeCalls()) {
       const auto* release = std::get_if<ReleaseCall>(&call);
       if (release == nullptr) continue;
+      asked.insert(release->upstream);
       planner->OnRelease(release->upstream,
                          releases ? ReleaseState::kReleased : ReleaseState::kBusy, now);
     }
@@ -57,6 +58,7 @@
   std::map<std::size_t, Milliseconds> maintenance_end;
   std::vector<WaveReport> reports;
   std::set<InstanceName> maintained;
+  std::set<UpstreamId> asked;  ///< Upstreams whose release was requested.
   bool releases = true;
   bool may_order = true;
   InstanceOrders orders{Milliseconds(3000)};
@@ -167,6 +169,39 @@
   CHECK(second.TakeRecords().empty());
 }
 
+// Guards against a pool that gets no instances for a peak while a large wave is in progress.
+TEST_CASE("the releases of a wave don't hold up moves out of its pool") {
+  constexpr int kInstances = 120;
+  FakeFleet fleet(kInstances);
+  fleet.releases = false;
+  const ServiceName peak("peak");
+  MaintenancePlannerOptions options = Options();
+  options.move_instances = true;
+  MaintenancePlanner planner(options, {});
+  planner.SetCatalog(
+      {.version = 1, .services = {{.name = test_service}, {.name = peak, .spare = false}}});
+  MaintenanceWave wave = fleet.Wave(60);
+  wave.instances.resize(60);
+  planner.SetWaves({wave}, fleet.now);
+  ServiceDemand idle{.upstreams = kInstances};
+  // The instances outside the wave come first.
+  for (auto machine = fleet.machines.rbegin(); machine != fleet.machines.rend(); ++machine) {
+    idle.release_order.push_back({.upstream = machine->upstream, .left = Milliseconds(1000)});
+  }
+  std::size_t asked_for_moves = 0;
+  while (fleet.now < Milliseconds(3000)) {
+    planner.OnDemand(test_service, idle, fleet.now);
+    // The peak begins once the wave has requested its releases.
+    const bool begun = fleet.now > Milliseconds(1000);
+    planner.OnDemand(peak, {.cpu_waiting = begun ? 60 * 32000 : 0}, fleet.now);
+    fleet.Tick(&planner);
+  }
+  for (int i = 60; i < kInstances; ++i) {
+    asked_for_moves += fleet.asked.count(UpstreamId("u" + std::to_string(i)));
+  }
+  CHECK(asked_for_moves == kInstances / config::kReleasePoolDivisor);
+}
+
 // Guards against two holders that order one instance within the platform's minimum gap, and against
 // a new holder that waits for instances which the previous one didn't order.
 TEST_CASE("only an instance that another holder ordered recently waits") {
