Answer 404 only from a current configuration

Cause: an instance that had not been able to read the operators' topic for seconds answered 404 from its old configuration as surely as from a current one. Class of fault: a negative answer from a view of unknown age; for unknown jobs (410) a holder already has to be confirmed.

Change: the follower of a topic knows since when its records may be outdated. While that is longer than the time in which a configuration must be in force, an unknown queue is answered 503 with Retry-After; a known one is served.

Measured: two new tests; before the change a request for an unknown queue was answered 404 whatever the age of the configuration.

A dropped queue is still served from an old configuration, so that callers are served during an outage of the store.

--- a/src/job_node.cc
+++ b/src/job_node.cc
@@ -74,6 +74,12 @@
   ScheduleTick(Milliseconds{0});
 }
 
+bool JobNode::IsCatalogCurrent() const {
+  const auto current_at = m_operators.current_at();
+  return m_catalog != nullptr && current_at &&
+         m_clock->Now() <= *current_at + m_options.config_bound;
+}
+
 void JobNode::OnCatalog(std::function<void(const FleetCatalog&)> callback) {
   m_catalog_callbacks.push_back(std::move(callback));
 }
--- a/src/job_node.h
+++ b/src/job_node.h
@@ -62,6 +62,7 @@
   Milliseconds lease{4000};
   Milliseconds max_lease{10000};
   Milliseconds drain_notice{2000};
+  Milliseconds config_bound{2000};    ///< Time in which a configuration must be in force.
   Milliseconds min_holder_gap{3000};  ///< Minimum time between two holders' orders to one instance.
   MaintenancePlannerOptions planner;
   PlatformNames names;
@@ -83,6 +84,10 @@
   /// @returns the active configuration, or nullptr before the first has been read.
   std::shared_ptr<const FleetCatalog> catalog() const { return m_catalog; }
 
+  /// @returns whether every configuration that must be in force by now is known. Without that, a
+  /// queue that the catalog doesn't have may exist.
+  bool IsCatalogCurrent() const;
+
   /// Called with each new configuration.
   void OnCatalog(std::function<void(const FleetCatalog&)> callback);
 
--- a/src/keyed_follower.cc
+++ b/src/keyed_follower.cc
@@ -2,6 +2,7 @@
 /// Full reads and incremental reads of a keyed topic.
 #include "keyed_follower.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "config.h"
@@ -12,6 +13,7 @@
   if (m_in_flight || now < m_next) return std::nullopt;
   m_in_flight = true;
   m_sent_at = now;
+  if (m_loading && m_after_key.empty()) m_first_page_sent_at = now;
   if (m_loading) return ReadNewest{.partition = m_options.partition, .after_key = m_after_key};
   return ReadKeyed{.partition = m_options.partition, .from = m_offset, .wait = m_options.wait};
 }
@@ -48,6 +50,7 @@
   }
   m_offset = *m_first_page_end;
   m_loading = false;
+  m_current_at = m_first_page_sent_at;
   m_next = now + m_options.min_interval;
   const bool changed = !m_loaded || m_records != m_loading_records;
   m_loaded = true;
@@ -64,6 +67,9 @@
       m_records[record.key] = record.value;
     }
   }
+  // The log service holds a read without records until its wait is over.
+  if (reply.records.empty()) m_current_at = std::min(now, m_sent_at + m_options.wait);
+  if (!reply.records.empty() && m_offset >= reply.end) m_current_at = m_sent_at;
   m_next = std::max(now, m_sent_at + m_options.min_interval);
   return !reply.records.empty();
 }
--- a/src/keyed_follower.h
+++ b/src/keyed_follower.h
@@ -32,6 +32,8 @@
   /// @returns whether a full read has been completed.
   bool loaded() const { return m_loaded; }
   const std::map<std::string, std::string>& records() const { return m_records; }
+  /// @returns the latest time at which records() was certainly complete, or no value.
+  std::optional<Milliseconds> current_at() const { return m_current_at; }
   Milliseconds NextDue() const { return m_in_flight ? Milliseconds::max() : m_next; }
 
  private:
@@ -50,6 +52,8 @@
   std::uint64_t m_offset = 0;
   Milliseconds m_next{0};
   Milliseconds m_sent_at{0};
+  Milliseconds m_first_page_sent_at{0};
+  std::optional<Milliseconds> m_current_at;
 };
 
 }  // namespace endivewood
--- a/tests/node_calls_test.cc
+++ b/tests/node_calls_test.cc
@@ -143,6 +143,30 @@
   CHECK(follower.records() == std::map<std::string, std::string>{{"b", "2"}});
 }
 
+// Guards against a view that is taken for current because a read of it has just begun or failed.
+TEST_CASE("a follower knows since when its records may be outdated") {
+  KeyedFollower follower({.partition = {"t", 0}, .wait = Milliseconds(1200)});
+  CHECK_FALSE(follower.current_at());
+  follower.TakeCall(Milliseconds(10));
+  StoreReply reply{.status = StoreStatus::kOk, .end = 4};
+  follower.OnReply(reply, Milliseconds(50));
+  CHECK(follower.current_at() == Milliseconds(10));
+  follower.TakeCall(Milliseconds(50));
+  follower.OnReply(reply, Milliseconds(1270));
+  CHECK(follower.current_at() == Milliseconds(1250));
+  follower.TakeCall(Milliseconds(1270));
+  follower.OnReply({.status = StoreStatus::kNoAnswer}, Milliseconds(2970));
+  CHECK(follower.current_at() == Milliseconds(1250));
+  follower.TakeCall(Milliseconds(3200));
+  reply.end = 6;
+  reply.records = {{.key = "a", .value = "1"}};
+  follower.OnReply(reply, Milliseconds(3900));
+  CHECK(follower.current_at() == Milliseconds(1250));
+  follower.TakeCall(Milliseconds(3900));
+  follower.OnReply(reply, Milliseconds(4100));
+  CHECK(follower.current_at() == Milliseconds(3900));
+}
+
 // Guards against a log that blocks its process, or that grows without bound under a burst of
 // events.
 TEST_CASE("the log drops and counts lines that its reader doesn't read") {
--- a/tests/platform_wire_test.cc
+++ b/tests/platform_wire_test.cc
@@ -79,6 +79,20 @@
   CHECK_FALSE(ParsePlatformSettings("node = ", "node.toml", &errors));
 }
 
+// Guards against a 404 for a queue that was added in a version which the instance hasn't read yet.
+TEST_CASE("an unknown queue is refused as unavailable while the configuration may be outdated") {
+  const auto catalog = DecodeCatalog(kConfig);
+  REQUIRE(catalog);
+  const HttpRequest request = Request("POST", "/new/0123456789abcdef");
+  const auto status = [&](bool current) {
+    return std::get<HttpReply>(DecodeCallerRequest(request, &*catalog, current)).status;
+  };
+  CHECK(status(false) == 503);
+  CHECK(status(true) == 404);
+  const HttpRequest known = Request("GET", "/a/0123456789abcdef");
+  CHECK(std::holds_alternative<NodeCall>(DecodeCallerRequest(known, &*catalog, false)));
+}
+
 // Guards against one malformed route making the whole configuration unusable.
 TEST_CASE("a malformed route is skipped and the rest of the configuration is used") {
   const auto catalog = DecodeCatalog(kConfig);
@@ -112,7 +126,7 @@
 TEST_CASE("callers' requests are routed, checked and answered") {
   const auto catalog = DecodeCatalog(kConfig);
   const auto status_of = [&](const HttpRequest& request, const FleetCatalog* known) {
-    const CallerRequest decoded = DecodeCallerRequest(request, known);
+    const CallerRequest decoded = DecodeCallerRequest(request, known, true);
     const auto* answer = std::get_if<HttpReply>(&decoded);
     return answer == nullptr ? 0 : answer->status;
   };
@@ -208,7 +222,7 @@
     DecodeStoreReply(ReadKeyed{}, Reply(200, text));
     DecodeStoreReply(ReadNewest{}, Reply(200, text));
     DecodeStoreReply(JoinGroup{}, Reply(200, text));
-    DecodeCallerRequest(Request("POST", "/a/0123456789abcdef", text), &*catalog);
+    DecodeCallerRequest(Request("POST", "/a/0123456789abcdef", text), &*catalog, true);
     bool malformed = false;
     std::string frame = text;
     TakeNodeFrame(&frame, &malformed);
