Log requests that are answered without a queue

Cause: a 404, or a 503 for want of a current configuration, left no line: the event that told of it has the level debug, below what a node writes.

--- a/src/events.cc
+++ b/src/events.cc
@@ -104,6 +104,7 @@
       {Event::kStoreCallFailed, "store-call-failed", EventLevel::kWarning},
       {Event::kProcessDelayed, "process-delayed", EventLevel::kWarning},
       {Event::kLinkBusy, "link-busy", EventLevel::kWarning},
+      {Event::kRequestUnroutable, "request-unroutable", EventLevel::kInfo},
       {Event::kMaintenanceOrdered, "maintenance-ordered", EventLevel::kInfo},
       {Event::kMoveOrdered, "move-ordered", EventLevel::kInfo},
       {Event::kMachineOrderFailed, "machine-order-failed", EventLevel::kWarning},
--- a/src/events.h
+++ b/src/events.h
@@ -125,6 +125,7 @@
   kStoreCallFailed = 812,
   kProcessDelayed = 813,
   kLinkBusy = 814,
+  kRequestUnroutable = 815,
   // Machines of the platform.
   kMaintenanceOrdered = 900,
   kMoveOrdered = 901,
