Raise a pool's need when a lasting task fits nowhere

Cause: the pool had shrunk to the cores of its lasting tasks and to their max_per_upstream. Neither shows memory (lasting tasks take 15 GB on average, up to 46 GB, of 64 GB) nor what other jobs' tasks occupy. A released instance gave its task up, and none of the other instances had room; the need stayed at 9. Class of fault: capacity judged by one resource.

Change: as long as a lasting task fits on no upstream, the service reports one upstream more than it has unreleased ones as its minimum.

--- a/src/job_scheduler.cc
+++ b/src/job_scheduler.cc
@@ -318,6 +318,7 @@
 void JobScheduler::Place(Milliseconds now, Milliseconds unix_offset) {
   std::vector<WaitingStep> waiting;
   m_cpu_waiting.clear();
+  m_unplaced_lasting.clear();
   for (auto& [id, job] : m_jobs) {
     // A crash would lose a running job that isn't stored.
     if (job->accepted_at_change > m_durable) continue;
@@ -374,7 +375,10 @@
                       .step = waiting->step,
                       .index = index};
     UpstreamCandidate* candidate = ChooseCandidate(candidates, *waiting, key);
-    if (candidate == nullptr) return;
+    if (candidate == nullptr) {
+      if (waiting->spec().lasting) m_unplaced_lasting.insert(waiting->job->spec().service);
+      return;
+    }
     ++task.runs;
     const std::uint64_t run = m_options.epoch * config::kRunsPerEpoch + task.runs;
     Start(waiting, index, run, candidate, now);
@@ -521,10 +525,12 @@
 
 ServiceDemand JobScheduler::Demand(const ServiceName& service, Milliseconds now) const {
   ServiceDemand demand;
+  int not_released = 0;
   for (const auto& [id, session] : m_sessions) {
     if (session.entry.service != service) continue;
     if (!CountsAsCapacity(session)) continue;
     ++demand.upstreams;
+    if (session.released_until <= now) ++not_released;
     demand.cpu_capacity += session.entry.capacity.cpu_millicores;
     Milliseconds left{0};
     for (const auto& [task, run] : session.hosted) {
@@ -552,6 +558,10 @@
       demand.min_lasting_upstreams = std::max(demand.min_lasting_upstreams, needed);
     }
   }
+  // Cores and spread don't show that memory, or other lasting tasks, leave no room for a task.
+  if (m_unplaced_lasting.count(service) > 0) {
+    demand.min_lasting_upstreams = std::max(demand.min_lasting_upstreams, not_released + 1);
+  }
   return demand;
 }
 
--- a/src/job_scheduler.h
+++ b/src/job_scheduler.h
@@ -68,7 +68,8 @@
   std::int64_t cpu_waiting = 0;
   /// Millicores needed for the current arrival rate of work, including refused work.
   std::int64_t cpu_offered = 0;
-  /// Minimum number of upstreams, by max_per_upstream of lasting steps.
+  /// Minimum number of upstreams, by max_per_upstream of lasting steps, and by lasting tasks that
+  /// fit on none of the present upstreams.
   int min_lasting_upstreams = 0;
   /// Upstreams in the order in which they can be released, idle ones first.
   std::vector<ReleaseTime> release_order;
@@ -240,6 +241,8 @@
   HolderRights m_rights;
   std::vector<UpstreamOrder> m_orders;
   std::map<ServiceName, std::int64_t> m_cpu_waiting;  ///< See ServiceDemand.
+  /// Services with a lasting task that fitted on no upstream at the last placement.
+  std::set<ServiceName> m_unplaced_lasting;
   std::map<ServiceName, OfferedLoad> m_offered;
   struct PlannedCapacity {
     std::int64_t millicores = 0;
--- a/tests/job_scheduler_test.cc
+++ b/tests/job_scheduler_test.cc
@@ -375,6 +375,24 @@
   CHECK(refused("after") > 0);
 }
 
+// Guards against a pool that shrinks to the cores and the spread of its lasting tasks while one of
+// them finds no memory on any upstream, and then doesn't run again.
+TEST_CASE("a lasting task without a fitting upstream raises the need of its pool") {
+  SchedulerSimulation simulation({.upstreams = 2});
+  StepSpec lasting = LastingStep(3, 1);
+  lasting.max_per_upstream = 2;
+  lasting.memory_mb = 9000;
+  simulation.Submit(simulation.Spec("lasting", {lasting}), test_policy);
+  simulation.Run(Milliseconds(3000));
+  CHECK(simulation.holder->Demand(test_service, simulation.now).min_lasting_upstreams == 3);
+  simulation.AddUpstream();
+  simulation.Run(Milliseconds(3000));
+  CHECK(simulation.holder->Demand(test_service, simulation.now).min_lasting_upstreams == 2);
+  std::size_t running = 0;
+  for (const auto& upstream : simulation.upstreams) running += upstream->running.size();
+  CHECK(running == 3);
+}
+
 // Guards against invariants that are violated only by a combination of faults.
 TEST_CASE("no task runs twice, out of order or beyond capacity under random faults") {
   for (unsigned seed = 1; seed <= 200; ++seed) {
