--- a/tests/job_node_test.cc
+++ b/tests/job_node_test.cc
@@ -178,10 +178,10 @@
 
 constexpr InstanceCapacity kSmallInstance{.cpu_millicores = 120, .link_mbps = 10};
 
-/// Member names of other instances, with their capacities.
-const std::vector<PartitionOwner> kLargeOwners = {
-    {.partition = {"jobs", 0}, .member = "127.0.0.1:1/500/a"},
-    {.partition = {"jobs", 1}, .member = "127.0.0.1:2/500/b"}};
+std::vector<PartitionOwner> LargeOwners() {
+  return {{.partition = {"jobs", 0}, .member = "127.0.0.1:1/500/a"},
+          {.partition = {"jobs", 1}, .member = "127.0.0.1:2/500/b"}};
+}
 
 // Guards against a service that is scheduled by one of the smallest instances, whose link and
 // processor a peak fills, while larger ones idle.
@@ -190,7 +190,7 @@
   std::size_t claims = 0;
   fixture.loop.After(Milliseconds(800), [&] {
     claims = fixture.store.claims.size();
-    fixture.store.owners = kLargeOwners;
+    fixture.store.owners = LargeOwners();
   });
   std::size_t claims_after = 0;
   fixture.loop.After(Milliseconds(5000), [&] {
@@ -206,7 +206,7 @@
 // Guards against partitions without a holder once the larger instances are gone.
 TEST_CASE("a small instance joins when no larger holders are left") {
   NodeFixture fixture(21917, kSmallInstance);
-  fixture.store.owners = kLargeOwners;
+  fixture.store.owners = LargeOwners();
   std::size_t claims_before = 0;
   fixture.loop.After(Milliseconds(1500), [&] {
     claims_before = fixture.store.claims.size();
--- a/tests/maintenance_planner_test.cc
+++ b/tests/maintenance_planner_test.cc
@@ -194,7 +194,7 @@
     planner.OnDemand(test_service, idle, fleet.now);
     // The peak begins once the wave has requested its releases.
     const bool begun = fleet.now > Milliseconds(1000);
-    planner.OnDemand(peak, {.cpu_waiting = begun ? 60 * 32000 : 0}, fleet.now);
+    planner.OnDemand(peak, {.cpu_waiting = begun ? std::int64_t{60} * 32000 : 0}, fleet.now);
     fleet.Tick(&planner);
   }
   for (int i = 60; i < kInstances; ++i) {
@@ -227,7 +227,7 @@
   const std::clock_t began = std::clock();
   for (int tick = 0; tick < kTicks; ++tick) {
     planner.OnDemand(test_service, busy, fleet.now);
-    planner.OnDemand(peak, {.cpu_waiting = 200 * 32000}, fleet.now);
+    planner.OnDemand(peak, {.cpu_waiting = std::int64_t{200} * 32000}, fleet.now);
     planner.Run(fleet.now, true, fleet.orders);
     planner.TakeNodeCalls();
     fleet.now += Milliseconds(config::kMaintenancePlannerTickMs);
