Share the listening socket of the HTTP client's tests

Cause: two servers of the test opened their sockets with the same eight lines.

Change: ListenOnPort.

--- a/tests/async_http_test.cc
+++ b/tests/async_http_test.cc
@@ -18,18 +18,24 @@
 
 constexpr std::uint16_t kPort = 21921;
 
+/// @returns a socket that listens on kPort.
+int ListenOnPort() {
+  const int listener = socket(AF_INET, SOCK_STREAM, 0);
+  const int on = 1;
+  setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(kPort);
+  inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+  REQUIRE(bind(listener, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
+  REQUIRE(listen(listener, 1) == 0);
+  return listener;
+}
+
 /// Accepts one connection and reads until it is closed, without answering.
 class SilentServer {
  public:
-  SilentServer() : m_listener(socket(AF_INET, SOCK_STREAM, 0)) {
-    const int on = 1;
-    setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(kPort);
-    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
-    REQUIRE(bind(m_listener, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
-    REQUIRE(listen(m_listener, 1) == 0);
+  SilentServer() : m_listener(ListenOnPort()) {
     m_thread = std::thread([this] { Serve(); });
   }
   ~SilentServer() {
@@ -93,14 +99,6 @@
   SlowServer(std::size_t announced, std::size_t pieces, std::size_t piece_size,
              std::chrono::milliseconds gap)
       : m_announced(announced), m_pieces(pieces), m_piece_size(piece_size), m_gap(gap) {
-    const int on = 1;
-    setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(kPort);
-    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
-    REQUIRE(bind(m_listener, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
-    REQUIRE(listen(m_listener, 1) == 0);
     m_thread = std::thread([this] { Serve(); });
   }
   ~SlowServer() {
@@ -130,7 +128,7 @@
   std::size_t m_pieces;
   std::size_t m_piece_size;
   std::chrono::milliseconds m_gap;
-  int m_listener = socket(AF_INET, SOCK_STREAM, 0);
+  int m_listener = ListenOnPort();
   std::thread m_thread;
 };
 
