--- a/src/config.h
+++ b/src/config.h
@@ -482,14 +482,15 @@
 /// of a core and 10 Mbit/s reaches the limits of both with the same load.
 inline constexpr int kMillicoresPerMbps = 10;
 
-/// A holder of this many times an instance's capacity is much larger, and an instance leaves the
-/// partitions to at least kMinLargerHolders of them, so that the loss of one moves no partition to
-/// a small instance.
+/// A holder of at least this many times an instance's capacity is much larger. An instance leaves
+/// the partitions to kMinLargerHolders or more of them: a single one would be a bottleneck, and its
+/// loss would leave no holder.
 inline constexpr int kMuchLargerFactor = 2;
 inline constexpr int kMinLargerHolders = 2;
 
 /// Total capacity of much larger holders, in multiples of an instance's own, with which it leaves
-/// the group and below which it joins again. A deployment has five services and the planner.
+/// the group and below which it joins again: the work of five services and the planner, with some
+/// to spare.
 inline constexpr std::int64_t kEnoughLargerCapacity = 8;
 inline constexpr std::int64_t kScarceLargerCapacity = 4;
 
