Log why a lasting task has no room, and what the planner counts

Cause: when a lasting task waits, nothing says which upstreams were considered and why none takes it; when a move is held back, nothing says why; and the instances that the planner counts for a pool appear nowhere.

Change: task-unplaced (what the task needs, how many upstreams are released, draining, silent, avoided or starting, and what the others lack), move-held (cause), both once a second a task; pool-size (instances counted, need, instances that the scheduler doesn't report, releases) on change. The code for lasting tasks moves to job_scheduler_lasting.cc; its decisions are unchanged.

--- a/src/config.h
+++ b/src/config.h
@@ -344,6 +344,10 @@
 /// Milliseconds before a lasting task whose run failed is restarted.
 inline constexpr std::int64_t kLastingRetryMs = 200;
 
+/// Interval in milliseconds at which a lasting task without room, or one that should be moved and
+/// can't be, is logged again.
+inline constexpr std::int64_t kWaitReportMs = 1000;
+
 /// Milliseconds without progress after which a task is moved, or its estimated run time if longer.
 inline constexpr std::int64_t kStalledMs = 1200;
 
--- a/src/events.cc
+++ b/src/events.cc
@@ -89,6 +89,8 @@
       {Event::kInheritedSettled, "inherited-settled", EventLevel::kInfo},
       {Event::kHandoverSettled, "handover-settled", EventLevel::kInfo},
       {Event::kHandoverIgnored, "handover-ignored", EventLevel::kInfo},
+      {Event::kTaskUnplaced, "task-unplaced", EventLevel::kWarning},
+      {Event::kMoveHeld, "move-held", EventLevel::kInfo},
       {Event::kPartitionClaimed, "partition-claimed", EventLevel::kInfo},
       {Event::kPartitionLoaded, "partition-loaded", EventLevel::kInfo},
       {Event::kPartitionLost, "partition-lost", EventLevel::kWarning},
@@ -112,6 +114,7 @@
       {Event::kPoolNeed, "pool-need", EventLevel::kInfo},
       {Event::kPeakBegan, "peak-began", EventLevel::kInfo},
       {Event::kPeakEnded, "peak-ended", EventLevel::kInfo},
+      {Event::kPoolSize, "pool-size", EventLevel::kInfo},
   };
   return table;
 }
--- a/src/events.h
+++ b/src/events.h
@@ -109,6 +109,8 @@
   kInheritedSettled = 717,
   kHandoverSettled = 718,
   kHandoverIgnored = 719,
+  kTaskUnplaced = 720,
+  kMoveHeld = 721,
   // Partitions of the job store, and the calls of callers.
   kPartitionClaimed = 800,
   kPartitionLoaded = 801,
@@ -134,6 +136,7 @@
   kPoolNeed = 904,
   kPeakBegan = 905,
   kPeakEnded = 906,
+  kPoolSize = 907,
 };
 
 /// The name and level of an event.
--- a/src/job_placement.cc
+++ b/src/job_placement.cc
@@ -120,6 +120,43 @@
   return best;
 }
 
+RoomCounts CountRoom(std::map<UpstreamId, UpstreamSession>* sessions, const WaitingStep& waiting,
+                     Milliseconds now) {
+  const Capacity needed = ReservationOf(waiting.spec());
+  RoomCounts counts;
+  for (auto& [id, session] : *sessions) {
+    if (session.entry.service != waiting.job->spec().service) continue;
+    if (session.entry.draining) {
+      ++counts.draining;
+    } else if (!session.listed || session.unanswered > 0) {
+      ++counts.silent;
+    } else if (session.released_until > now) {
+      ++counts.released;
+    } else if (session.avoid_until > now || session.full_until > now ||
+               session.failed_streak >= config::kFailedStreakLimit) {
+      ++counts.avoided;
+    } else if (!IsUsable(session, now)) {
+      ++counts.starting;
+    } else {
+      const Capacity free = session.Free();
+      counts.most_free.cpu_millicores =
+          std::max(counts.most_free.cpu_millicores, free.cpu_millicores);
+      counts.most_free.memory_mb = std::max(counts.most_free.memory_mb, free.memory_mb);
+      counts.most_free.gpus = std::max(counts.most_free.gpus, free.gpus);
+      if (Fits({.session = &session, .free = free}, waiting)) {
+        ++counts.fits;
+      } else if (needed.cpu_millicores > free.cpu_millicores) {
+        ++counts.short_cpu;
+      } else if (needed.memory_mb > free.memory_mb) {
+        ++counts.short_memory;
+      } else {
+        ++counts.excluded;
+      }
+    }
+  }
+  return counts;
+}
+
 void Reserve(UpstreamCandidate* candidate, const StepSpec& step) {
   const Capacity needed = ReservationOf(step);
   candidate->free.cpu_millicores -= needed.cpu_millicores;
--- a/src/job_placement.h
+++ b/src/job_placement.h
@@ -55,6 +55,23 @@
 UpstreamCandidate* ChooseCandidate(std::vector<UpstreamCandidate>* candidates,
                                    const WaitingStep& waiting, const TaskKey& key);
 
+/// A service's upstreams by the first reason why they don't take a task of a step.
+struct RoomCounts {
+  int fits = 0;
+  int released = 0;  ///< Reserved for a move or maintenance.
+  int draining = 0;
+  int silent = 0;        ///< Not listed, or the last order had no answer.
+  int avoided = 0;       ///< Full, unhealthy or failing a short time ago.
+  int starting = 0;      ///< Its run list hasn't been read yet, or it has no lease.
+  int short_cpu = 0;     ///< Usable, without enough free CPU.
+  int short_memory = 0;  ///< Usable, without enough free memory.
+  int excluded = 0;      ///< Usable, but label, GPUs or max_per_upstream don't permit it.
+  Capacity most_free;    ///< Of the usable ones, each resource by itself.
+};
+
+RoomCounts CountRoom(std::map<UpstreamId, UpstreamSession>* sessions, const WaitingStep& waiting,
+                     Milliseconds now);
+
 /// Subtracts a task's reservation from the free capacity.
 void Reserve(UpstreamCandidate* candidate, const StepSpec& step);
 
--- a/src/job_scheduler.cc
+++ b/src/job_scheduler.cc
@@ -381,7 +381,10 @@
                       .index = index};
     UpstreamCandidate* candidate = ChooseCandidate(candidates, *waiting, key);
     if (candidate == nullptr) {
-      if (waiting->spec().lasting) m_unplaced_lasting.insert(waiting->job->spec().service);
+      if (waiting->spec().lasting) {
+        m_unplaced_lasting.insert(waiting->job->spec().service);
+        ReportUnplaced(*waiting, key, now);
+      }
       return;
     }
     ++task.runs;
--- a/src/job_scheduler.h
+++ b/src/job_scheduler.h
@@ -220,8 +220,14 @@
   void EvacuateUpstream(UpstreamSession* session, Milliseconds now);
   void MoveStalledTasks(UpstreamSession* session, Milliseconds now);
   void AdjustPace(UpstreamSession* session, Milliseconds now);
-  bool MayMoveLasting(const TaskKey& task, const UpstreamSession& from);
   void ScheduleRenew(UpstreamSession* session, Milliseconds at);
+  // job_scheduler_lasting.cc
+  /// @returns how many other tasks of the task's step aren't at work.
+  int UnavailableBeside(const TaskKey& task) const;
+  bool MayMoveLasting(const TaskKey& task, const UpstreamSession& from, Milliseconds now);
+  /// @returns whether a waiting task hasn't been logged for kWaitReportMs.
+  bool IsReportDue(const TaskKey& task, Milliseconds now);
+  void ReportUnplaced(const WaitingStep& waiting, const TaskKey& task, Milliseconds now);
 
   SchedulerOptions m_options;
   std::map<JobId, std::unique_ptr<Job>> m_jobs;
@@ -249,6 +255,8 @@
   bool m_start_window_full = false;     ///< The last placement left tasks for later.
   /// Services with a lasting task that fitted on no upstream at the last placement.
   std::set<ServiceName> m_unplaced_lasting;
+  /// When a waiting lasting task, or one that can't be moved, was last logged.
+  std::map<TaskKey, Milliseconds> m_wait_reports;
   std::map<ServiceName, OfferedLoad> m_offered;
   struct PlannedCapacity {
     std::int64_t millicores = 0;
--- /dev/null
+++ b/src/job_scheduler_lasting.cc
@@ -0,0 +1,101 @@
+/// @file
+/// JobScheduler: moves of lasting tasks, and lasting tasks that wait for room.
+#include <algorithm>
+
+#include "config.h"
+#include "events.h"
+#include "job_scheduler.h"
+
+namespace endivewood {
+
+bool JobScheduler::IsReportDue(const TaskKey& task, Milliseconds now) {
+  std::erase_if(m_wait_reports, [&](const auto& report) {
+    return report.second + 2 * Milliseconds(config::kWaitReportMs) <= now;
+  });
+  const auto [report, added] = m_wait_reports.try_emplace(task, now);
+  if (!added && report->second + Milliseconds(config::kWaitReportMs) > now) return false;
+  report->second = now;
+  return true;
+}
+
+void JobScheduler::ReportUnplaced(const WaitingStep& waiting, const TaskKey& task,
+                                  Milliseconds now) {
+  if (!IsReportDue(task, now)) return;
+  const TaskState& state = waiting.state().tasks[task.index];
+  const Capacity needed = ReservationOf(waiting.spec());
+  const RoomCounts room = CountRoom(&m_sessions, waiting, now);
+  LogEvent(Event::kTaskUnplaced,
+           {RequestField(task.job.str()),
+            {"task", task.str()},
+            {"waited_ms", now - state.requeued_at.value_or(waiting.occurrence->due)},
+            {"service", waiting.job->spec().service},
+            {"needs_millicores", needed.cpu_millicores},
+            {"needs_mb", needed.memory_mb},
+            {"most_free_millicores", room.most_free.cpu_millicores},
+            {"most_free_mb", room.most_free.memory_mb},
+            {"fits", room.fits},
+            {"short_cpu", room.short_cpu},
+            {"short_memory", room.short_memory},
+            {"excluded", room.excluded},
+            {"released", room.released},
+            {"draining", room.draining},
+            {"silent", room.silent},
+            {"avoided", room.avoided},
+            {"starting", room.starting}});
+}
+
+int JobScheduler::UnavailableBeside(const TaskKey& task) const {
+  const Job& job = *m_jobs.at(task.job);
+  const StepState& step = job.occurrences().at(task.occurrence).steps[task.step];
+  int unavailable = 0;
+  for (int index = 0; index < static_cast<int>(step.tasks.size()); ++index) {
+    const TaskState& other = step.tasks[index];
+    if (index == task.index) continue;
+    if (!other.placed) {
+      ++unavailable;
+      continue;
+    }
+    TaskKey key = task;
+    key.index = index;
+    const auto session = m_sessions.find(other.placed->upstream);
+    if (session == m_sessions.end() || session->second.unanswered > 0) {
+      ++unavailable;
+      continue;
+    }
+    const auto run = session->second.hosted.find(key);
+    const bool available = run != session->second.hosted.end() &&
+                           run->second.state == HostedState::kRunning && run->second.percent >= 100;
+    if (!available) ++unavailable;
+  }
+  return unavailable;
+}
+
+bool JobScheduler::MayMoveLasting(const TaskKey& task, const UpstreamSession& from,
+                                  Milliseconds now) {
+  Job& job = *m_jobs.at(task.job);
+  const StepSpec& spec = job.spec().steps[task.step];
+  const auto report_held = [&](const char* cause, int unavailable) {
+    if (!IsReportDue(task, now)) return;
+    LogEvent(Event::kMoveHeld, {RequestField(task.job.str()),
+                                {"task", task.str()},
+                                {"upstream", from.entry.id},
+                                {"cause", cause},
+                                {"unavailable", unavailable},
+                                {"max_unavailable", spec.max_unavailable}});
+  };
+  const int unavailable = UnavailableBeside(task);
+  if (unavailable + 1 > std::max(1, spec.max_unavailable)) {
+    report_held("others-unavailable", unavailable);
+    return false;
+  }
+  const WaitingStep waiting{
+      .job = &job, .occurrence = &job.occurrences().at(task.occurrence), .step = task.step};
+  for (auto& [id, session] : m_sessions) {
+    if (id == from.entry.id || !IsUsable(session, from.last_answer)) continue;
+    if (Fits({.session = &session, .free = session.Free()}, waiting)) return true;
+  }
+  report_held("no-room", unavailable);
+  return false;
+}
+
+}  // namespace endivewood
--- a/src/job_scheduler_upstreams.cc
+++ b/src/job_scheduler_upstreams.cc
@@ -404,40 +404,6 @@
            {{"partition", m_options.partition}, {"epoch", m_options.epoch}});
 }
 
-bool JobScheduler::MayMoveLasting(const TaskKey& task, const UpstreamSession& from) {
-  Job& job = *m_jobs.at(task.job);
-  const StepSpec& spec = job.spec().steps[task.step];
-  const StepState& step = job.occurrences().at(task.occurrence).steps[task.step];
-  int unavailable = 0;
-  for (int index = 0; index < static_cast<int>(step.tasks.size()); ++index) {
-    const TaskState& other = step.tasks[index];
-    if (index == task.index) continue;
-    if (!other.placed) {
-      ++unavailable;
-      continue;
-    }
-    TaskKey key = task;
-    key.index = index;
-    const auto session = m_sessions.find(other.placed->upstream);
-    if (session == m_sessions.end() || session->second.unanswered > 0) {
-      ++unavailable;
-      continue;
-    }
-    const auto run = session->second.hosted.find(key);
-    const bool available = run != session->second.hosted.end() &&
-                           run->second.state == HostedState::kRunning && run->second.percent >= 100;
-    if (!available) ++unavailable;
-  }
-  if (unavailable + 1 > std::max(1, spec.max_unavailable)) return false;
-  const WaitingStep waiting{
-      .job = &job, .occurrence = &job.occurrences().at(task.occurrence), .step = task.step};
-  for (auto& [id, session] : m_sessions) {
-    if (id == from.entry.id || !IsUsable(session, from.last_answer)) continue;
-    if (Fits({.session = &session, .free = session.Free()}, waiting)) return true;
-  }
-  return false;
-}
-
 void JobScheduler::EvacuateUpstream(UpstreamSession* session, Milliseconds now) {
   if (!session->fenced) return;
   const bool draining = session->entry.draining;
@@ -445,7 +411,7 @@
   for (auto& [task, run] : session->hosted) {
     if (run.state != HostedState::kRunning || m_jobs.count(task.job) == 0) continue;
     if (run.lasting) {
-      if (!MayMoveLasting(task, *session)) continue;
+      if (!MayMoveLasting(task, *session, now)) continue;
     } else {
       const Milliseconds left = run.ordered_at + run.estimate - now;
       const Milliseconds limit = draining ? session->drain_deadline - now : release_limit;
--- a/src/maintenance_planner.cc
+++ b/src/maintenance_planner.cc
@@ -173,6 +173,7 @@
   if (m_options.move_instances && m_next_demand <= now) {
     m_next_demand = now + Milliseconds(config::kDemandIntervalMs);
     const std::map<ServiceName, int> sizes = PoolSizes();
+    ReportPoolSizes(sizes);
     for (const CatalogService& service : m_catalog.services) {
       if (service.spare) continue;
       const std::int64_t planned = std::int64_t{sizes.at(service.name)} * InstanceMillicores();
@@ -370,6 +371,34 @@
   return sizes;
 }
 
+void MaintenancePlanner::ReportPoolSizes(const std::map<ServiceName, int>& sizes) {
+  std::map<ServiceName, int> up;
+  std::map<ServiceName, int> unreported;
+  const std::map<UpstreamId, Milliseconds> reported = ReleaseTimes();
+  for (const auto& [name, machine] : m_machines) {
+    if (machine.state != MachineState::kUp) continue;
+    ++up[machine.pool];
+    if (reported.count(machine.upstream) == 0) ++unreported[machine.pool];
+  }
+  std::map<ServiceName, int> for_waves = CountReleases(ReleaseKind::kWave);
+  std::map<ServiceName, int> for_moves = CountReleases(ReleaseKind::kMove);
+  for (const auto& [service, size] : sizes) {
+    const int need = m_sizing.CurrentNeedOf(service).value_or(0);
+    const std::vector<int> numbers = {
+        size, need, up[service], unreported[service], for_waves[service], for_moves[service]};
+    std::vector<int>& last = m_reported_sizes[service];
+    if (last == numbers) continue;
+    last = numbers;
+    LogEvent(Event::kPoolSize, {{"service", service},
+                                {"instances", size},
+                                {"need", need},
+                                {"up", up[service]},
+                                {"unreported", unreported[service]},
+                                {"releases_for_waves", for_waves[service]},
+                                {"releases_for_moves", for_moves[service]}});
+  }
+}
+
 /// Returns the instances of a pool that can be moved, in the order in which they can be released.
 std::deque<const MachineEntry*> MaintenancePlanner::InstancesToMove(const ServiceName& from) const {
   std::map<UpstreamId, const MachineEntry*> by_upstream;
