--- a/tests/maintenance_planner_test.cc
+++ b/tests/maintenance_planner_test.cc
@@ -59,7 +59,8 @@
   std::map<std::size_t, Milliseconds> maintenance_end;
   std::vector<WaveReport> reports;
   std::set<InstanceName> maintained;
-  std::set<UpstreamId> asked;  ///< Upstreams whose release was requested.
+  std::map<ServiceName, int> moved_to;  ///< Moves by target pool.
+  std::set<UpstreamId> asked;           ///< Upstreams whose release was requested.
   bool releases = true;
   bool may_order = true;
   InstanceOrders orders{Milliseconds(3000)};
@@ -77,6 +78,13 @@
         maintained.insert(maintain->instance);
       }
     }
+    if (const auto* move = std::get_if<MoveInstance>(&call)) {
+      for (MachineEntry& machine : machines) {
+        if (machine.instance != move->instance) continue;
+        machine.pool = move->pool;
+        ++moved_to[move->pool];
+      }
+    }
     planner->OnMachines(call, reply, now);
   }
 };
@@ -237,6 +245,33 @@
   CHECK(share < kAllowedShare);
 }
 
+// Guards against a pool that gets no replacement for a dark rack, so that lasting tasks find no
+// room.
+TEST_CASE("a pool gets replacements for instances that its scheduler can't use") {
+  constexpr int kInstances = 6;
+  constexpr int kDark = 2;
+  FakeFleet fleet(kInstances + 4);
+  const ServiceName spare("spare");
+  for (int i = kInstances; i < kInstances + 4; ++i) fleet.machines[i].pool = spare;
+  MaintenancePlannerOptions options = Options();
+  options.move_instances = true;
+  MaintenancePlanner planner(options, {});
+  planner.SetCatalog(
+      {.version = 1, .services = {{.name = test_service}, {.name = spare, .spare = true}}});
+  while (fleet.now < Milliseconds(8000)) {
+    const bool dark = fleet.now > Milliseconds(3000);
+    ServiceDemand demand{.upstreams = dark ? kInstances - kDark : kInstances,
+                         .min_lasting_upstreams = kInstances};
+    for (int i = 0; i < demand.upstreams; ++i) {
+      demand.release_order.push_back({.upstream = fleet.machines[i].upstream});
+    }
+    planner.OnDemand(test_service, demand, fleet.now);
+    fleet.Tick(&planner);
+    if (!dark) CHECK(fleet.moved_to.count(test_service) == 0);
+  }
+  CHECK(fleet.moved_to[test_service] == kDark);
+}
+
 // Guards against two holders that order one instance within the platform's minimum gap, and against
 // a new holder that waits for instances which the previous one didn't order.
 TEST_CASE("only an instance that another holder ordered recently waits") {
