Hold room for a lasting task before it is moved

What callers saw: a lasting task is stopped on an instance that is to be released and doesn't run again for seconds (LOST).

Cause: a move asked whether some upstream had room and reserved nothing. Until the end of the stopped run was known and the task placed again, a second move or a short task took the same room. Class of fault: check without reservation, then act.

Change: the scheduler chooses the target before it stops the task and holds the room there until the task has started, wherever that is. Held room counts as used for all other tasks and for max_per_upstream. A hold ends when its upstream can't be used any more, the job ends, or the task isn't being moved. Free capacity may now be negative where an upstream is overcommitted.

--- a/src/job_node_dump.cc
+++ b/src/job_node_dump.cc
@@ -17,6 +17,7 @@
                          {"draining", session.entry.draining},
                          {"runs", session.hosted.size()},
                          {"free_millicores", session.Free().cpu_millicores},
+                         {"held_for", session.held.size()},
                          {"unanswered", session.unanswered}});
   }
   return {{"partition", term.options().partition.number},
--- a/src/job_placement.cc
+++ b/src/job_placement.cc
@@ -10,13 +10,13 @@
 namespace endivewood {
 namespace {
 
-int HostedTasksOfStep(const UpstreamSession& session, const WaitingStep& waiting) {
-  const TaskKey first{.job = waiting.job->spec().id,
-                      .occurrence = waiting.occurrence->number,
-                      .step = waiting.step,
-                      .index = 0};
+/// Counts a step's tasks in a map by task.
+template <typename Value>
+int TasksOfStep(const std::map<TaskKey, Value>& tasks, const TaskKey& task) {
+  TaskKey first = task;
+  first.index = 0;
   int count = 0;
-  for (auto it = session.hosted.lower_bound(first); it != session.hosted.end(); ++it) {
+  for (auto it = tasks.lower_bound(first); it != tasks.end(); ++it) {
     const TaskKey& key = it->first;
     if (key.job != first.job || key.occurrence != first.occurrence || key.step != first.step) break;
     ++count;
@@ -94,17 +94,19 @@
           .gpus = step.gpus};
 }
 
-bool Fits(const UpstreamCandidate& candidate, const WaitingStep& waiting) {
+bool Fits(const UpstreamCandidate& candidate, const WaitingStep& waiting, const TaskKey& key) {
   const StepSpec& step = waiting.spec();
-  const Capacity needed = ReservationOf(step);
-  if (needed.cpu_millicores > candidate.free.cpu_millicores) return false;
-  if (needed.memory_mb > candidate.free.memory_mb || needed.gpus > candidate.free.gpus)
-    return false;
-  const UpstreamEntry& entry = candidate.session->entry;
-  if (entry.service != waiting.job->spec().service) return false;
-  if (!step.required_label.empty() && !HasLabel(entry, step.required_label)) return false;
+  const UpstreamSession& session = *candidate.session;
+  const auto held = session.held.find(key);
+  const bool holds_room = held != session.held.end();
+  const Capacity free = holds_room ? candidate.free + held->second : candidate.free;
+  if (!free.Holds(ReservationOf(step))) return false;
+  if (session.entry.service != waiting.job->spec().service) return false;
+  if (!step.required_label.empty() && !HasLabel(session.entry, step.required_label)) return false;
   if (step.max_per_upstream == 0) return true;
-  return HostedTasksOfStep(*candidate.session, waiting) < step.max_per_upstream;
+  const int others =
+      TasksOfStep(session.hosted, key) + TasksOfStep(session.held, key) - (holds_room ? 1 : 0);
+  return others < step.max_per_upstream;
 }
 
 UpstreamCandidate* ChooseCandidate(std::vector<UpstreamCandidate>* candidates,
@@ -113,7 +115,7 @@
   UpstreamCandidate* best = nullptr;
   for (UpstreamCandidate& candidate : *candidates) {
     // An earlier run of the task may still be stopping there.
-    if (!Fits(candidate, waiting) || candidate.session->hosted.count(key) > 0) continue;
+    if (!Fits(candidate, waiting, key) || candidate.session->hosted.count(key) > 0) continue;
     if (best == nullptr || CostOf(candidate, waiting, task) < CostOf(*best, waiting, task))
       best = &candidate;
   }
@@ -121,7 +123,7 @@
 }
 
 RoomCounts CountRoom(std::map<UpstreamId, UpstreamSession>* sessions, const WaitingStep& waiting,
-                     Milliseconds now) {
+                     const TaskKey& key, Milliseconds now) {
   const Capacity needed = ReservationOf(waiting.spec());
   RoomCounts counts;
   for (auto& [id, session] : *sessions) {
@@ -143,7 +145,7 @@
           std::max(counts.most_free.cpu_millicores, free.cpu_millicores);
       counts.most_free.memory_mb = std::max(counts.most_free.memory_mb, free.memory_mb);
       counts.most_free.gpus = std::max(counts.most_free.gpus, free.gpus);
-      if (Fits({.session = &session, .free = free}, waiting)) {
+      if (Fits({.session = &session, .free = free}, waiting, key)) {
         ++counts.fits;
       } else if (needed.cpu_millicores > free.cpu_millicores) {
         ++counts.short_cpu;
@@ -158,10 +160,7 @@
 }
 
 void Reserve(UpstreamCandidate* candidate, const StepSpec& step) {
-  const Capacity needed = ReservationOf(step);
-  candidate->free.cpu_millicores -= needed.cpu_millicores;
-  candidate->free.memory_mb -= needed.memory_mb;
-  candidate->free.gpus -= needed.gpus;
+  candidate->free = candidate->free - ReservationOf(step);
   candidate->hosts_latency_sensitive =
       candidate->hosts_latency_sensitive || step.target_latency > Milliseconds{0};
   candidate->hosts_best_effort = candidate->hosts_best_effort || step.best_effort;
--- a/src/job_placement.h
+++ b/src/job_placement.h
@@ -25,7 +25,7 @@
 /// A usable upstream and its free capacity during one placement pass.
 struct UpstreamCandidate {
   UpstreamSession* session = nullptr;
-  Capacity free;
+  Capacity free;                         ///< See UpstreamSession::Free.
   bool hosts_latency_sensitive = false;  ///< Tasks with a target latency.
   bool hosts_best_effort = false;  ///< Tasks that use leftover capacity (StepSpec::best_effort).
   bool trial_only = false;         ///< Gets one task at a time until one succeeds.
@@ -44,8 +44,9 @@
 std::vector<UpstreamCandidate> FindCandidates(std::map<UpstreamId, UpstreamSession>* sessions,
                                               Milliseconds now);
 
-/// @returns whether the upstream has the capacity and properties for one task of the step.
-bool Fits(const UpstreamCandidate& candidate, const WaitingStep& waiting);
+/// @returns whether the upstream has the capacity and properties for a task of the step. Room that
+/// is held for this task counts as free.
+bool Fits(const UpstreamCandidate& candidate, const WaitingStep& waiting, const TaskKey& key);
 
 /// Chooses the best upstream for one task. Criteria in this order: the task hasn't failed there; it
 /// is in the rack of the task's data; best-effort and latency-sensitive tasks stay apart. Among
@@ -70,7 +71,7 @@
 };
 
 RoomCounts CountRoom(std::map<UpstreamId, UpstreamSession>* sessions, const WaitingStep& waiting,
-                     Milliseconds now);
+                     const TaskKey& key, Milliseconds now);
 
 /// Subtracts a task's reservation from the free capacity.
 void Reserve(UpstreamCandidate* candidate, const StepSpec& step);
--- a/src/job_scheduler.cc
+++ b/src/job_scheduler.cc
@@ -309,6 +309,7 @@
   m_unix_offset = unix_offset;
   m_rights = rights;
   m_next_due = now + Milliseconds(config::kIdleRenewWaitMs);
+  DropStaleHolds(now);
   RunSessions(now, rights);
   if (m_inherited_pending) ResolveInheritedTasks(now, rights.confirmed_at);
   ExpireResults(now + m_unix_offset);
@@ -462,6 +463,9 @@
   task.placed = PlacedRun{.upstream = session.entry.id, .run = run};
   task.inherited = false;
   ++state.placed;
+  const auto held = session.held.find(key);
+  if (held != session.held.end()) candidate->free = candidate->free + held->second;
+  DropHold(key);
   Reserve(candidate, spec);
   HostedRun hosted{.run = run,
                    .reserved = ReservationOf(spec),
--- a/src/job_scheduler.h
+++ b/src/job_scheduler.h
@@ -224,7 +224,15 @@
   // job_scheduler_lasting.cc
   /// @returns how many other tasks of the task's step aren't at work.
   int UnavailableBeside(const TaskKey& task) const;
-  bool MayMoveLasting(const TaskKey& task, const UpstreamSession& from, Milliseconds now);
+  /// Chooses an upstream to which a lasting task can move, and holds room for it there until it
+  /// starts again.
+  /// @returns nullptr if the task can't be moved now.
+  UpstreamSession* PrepareMove(const TaskKey& task, const UpstreamSession& from, Milliseconds now);
+  void HoldRoom(const TaskKey& task, const Capacity& capacity, UpstreamSession* session);
+  void DropHold(const TaskKey& task);
+  /// Drops holds whose task doesn't wait for them any more or whose upstream can't be used.
+  void DropStaleHolds(Milliseconds now);
+  bool IsBeingStopped(const TaskKey& key, const TaskState& task);
   /// @returns whether a waiting task hasn't been logged for kWaitReportMs.
   bool IsReportDue(const TaskKey& task, Milliseconds now);
   void ReportUnplaced(const WaitingStep& waiting, const TaskKey& task, Milliseconds now);
@@ -251,8 +259,9 @@
   HolderRights m_rights;
   std::vector<UpstreamOrder> m_orders;
   std::map<ServiceName, std::int64_t> m_cpu_waiting;  ///< See ServiceDemand.
-  std::int64_t m_unanswered_bytes = 0;  ///< See SchedulerOptions::max_unanswered_bytes.
-  bool m_start_window_full = false;     ///< The last placement left tasks for later.
+  std::int64_t m_unanswered_bytes = 0;    ///< See SchedulerOptions::max_unanswered_bytes.
+  bool m_start_window_full = false;       ///< The last placement left tasks for later.
+  std::map<TaskKey, UpstreamId> m_holds;  ///< See UpstreamSession::held.
   /// Services with a lasting task that fitted on no upstream at the last placement.
   std::set<ServiceName> m_unplaced_lasting;
   /// When a waiting lasting task, or one that can't be moved, was last logged.
--- a/src/job_scheduler_lasting.cc
+++ b/src/job_scheduler_lasting.cc
@@ -23,7 +23,7 @@
   if (!IsReportDue(task, now)) return;
   const TaskState& state = waiting.state().tasks[task.index];
   const Capacity needed = ReservationOf(waiting.spec());
-  const RoomCounts room = CountRoom(&m_sessions, waiting, now);
+  const RoomCounts room = CountRoom(&m_sessions, waiting, task, now);
   LogEvent(Event::kTaskUnplaced,
            {RequestField(task.job.str()),
             {"task", task.str()},
@@ -70,8 +70,43 @@
   return unavailable;
 }
 
-bool JobScheduler::MayMoveLasting(const TaskKey& task, const UpstreamSession& from,
-                                  Milliseconds now) {
+void JobScheduler::HoldRoom(const TaskKey& task, const Capacity& capacity,
+                            UpstreamSession* session) {
+  DropHold(task);
+  session->held[task] = capacity;
+  m_holds[task] = session->entry.id;
+}
+
+void JobScheduler::DropHold(const TaskKey& task) {
+  const auto hold = m_holds.find(task);
+  if (hold == m_holds.end()) return;
+  if (UpstreamSession* const session = FindSession(hold->second)) session->held.erase(task);
+  m_holds.erase(hold);
+}
+
+void JobScheduler::DropStaleHolds(Milliseconds now) {
+  std::vector<TaskKey> stale;
+  for (const auto& [key, upstream] : m_holds) {
+    const auto job = m_jobs.find(key.job);
+    const TaskState* const task = job == m_jobs.end() ? nullptr : job->second->Find(key);
+    const UpstreamSession* const target = FindSession(upstream);
+    const bool usable = target != nullptr && IsUsable(*target, now);
+    if (task == nullptr || task->done || !usable || (task->placed && !IsBeingStopped(key, *task))) {
+      stale.push_back(key);
+    }
+  }
+  for (const TaskKey& key : stale) DropHold(key);
+}
+
+bool JobScheduler::IsBeingStopped(const TaskKey& key, const TaskState& task) {
+  const UpstreamSession* const session = FindSession(task.placed->upstream);
+  if (session == nullptr) return false;
+  const auto run = session->hosted.find(key);
+  return run != session->hosted.end() && run->second.state == HostedState::kStopping;
+}
+
+UpstreamSession* JobScheduler::PrepareMove(const TaskKey& task, const UpstreamSession& from,
+                                           Milliseconds now) {
   Job& job = *m_jobs.at(task.job);
   const StepSpec& spec = job.spec().steps[task.step];
   const auto report_held = [&](const char* cause, int unavailable) {
@@ -86,16 +121,18 @@
   const int unavailable = UnavailableBeside(task);
   if (unavailable + 1 > std::max(1, spec.max_unavailable)) {
     report_held("others-unavailable", unavailable);
-    return false;
+    return nullptr;
   }
   const WaitingStep waiting{
       .job = &job, .occurrence = &job.occurrences().at(task.occurrence), .step = task.step};
-  for (auto& [id, session] : m_sessions) {
-    if (id == from.entry.id || !IsUsable(session, from.last_answer)) continue;
-    if (Fits({.session = &session, .free = session.Free()}, waiting)) return true;
+  std::vector<UpstreamCandidate> candidates = FindCandidates(&m_sessions, now);
+  const UpstreamCandidate* const target = ChooseCandidate(&candidates, waiting, task);
+  if (target == nullptr) {
+    report_held("no-room", unavailable);
+    return nullptr;
   }
-  report_held("no-room", unavailable);
-  return false;
+  HoldRoom(task, ReservationOf(spec), target->session);
+  return target->session;
 }
 
 }  // namespace endivewood
--- a/src/job_scheduler_upstreams.cc
+++ b/src/job_scheduler_upstreams.cc
@@ -410,8 +410,10 @@
   const Milliseconds release_limit(config::kReleaseGraceMs);
   for (auto& [task, run] : session->hosted) {
     if (run.state != HostedState::kRunning || m_jobs.count(task.job) == 0) continue;
+    const UpstreamSession* target = nullptr;
     if (run.lasting) {
-      if (!MayMoveLasting(task, *session, now)) continue;
+      target = PrepareMove(task, *session, now);
+      if (target == nullptr) continue;
     } else {
       const Milliseconds left = run.ordered_at + run.estimate - now;
       const Milliseconds limit = draining ? session->drain_deadline - now : release_limit;
@@ -421,7 +423,8 @@
                                  {"task", task.str()},
                                  {"run", run.run},
                                  {"upstream", session->entry.id},
-                                 {"cause", draining ? "draining" : "released"}});
+                                 {"cause", draining ? "draining" : "released"},
+                                 {"target", target == nullptr ? "" : target->entry.id.str()}});
     Stop(session, task, &run, now);
   }
 }
--- a/src/jobs.h
+++ b/src/jobs.h
@@ -100,6 +100,23 @@
   int gpus = 0;
 
   bool operator==(const Capacity&) const = default;
+  Capacity operator+(const Capacity& other) const {
+    return {.cpu_millicores = cpu_millicores + other.cpu_millicores,
+            .memory_mb = memory_mb + other.memory_mb,
+            .gpus = gpus + other.gpus};
+  }
+  Capacity operator-(const Capacity& other) const {
+    return {.cpu_millicores = cpu_millicores - other.cpu_millicores,
+            .memory_mb = memory_mb - other.memory_mb,
+            .gpus = gpus - other.gpus};
+  }
+  /// @returns whether this capacity contains `needed`. A resource that isn't needed always
+  /// suffices.
+  bool Holds(const Capacity& needed) const {
+    return (needed.cpu_millicores <= 0 || needed.cpu_millicores <= cpu_millicores) &&
+           (needed.memory_mb <= 0 || needed.memory_mb <= memory_mb) &&
+           (needed.gpus <= 0 || needed.gpus <= gpus);
+  }
 };
 
 /// Registry entry in which an upstream describes itself.
--- a/src/upstream_session.cc
+++ b/src/upstream_session.cc
@@ -30,18 +30,15 @@
 Capacity UpstreamSession::Used() const {
   Capacity used;
   for (const auto& [task, run] : hosted) {
-    used.cpu_millicores += run.reserved.cpu_millicores;
-    used.memory_mb += run.reserved.memory_mb;
-    used.gpus += run.reserved.gpus;
+    used = used + run.reserved;
   }
   return used;
 }
 
 Capacity UpstreamSession::Free() const {
-  const Capacity used = Used();
-  return {.cpu_millicores = std::max(0, entry.capacity.cpu_millicores - used.cpu_millicores),
-          .memory_mb = std::max(0, entry.capacity.memory_mb - used.memory_mb),
-          .gpus = std::max(0, entry.capacity.gpus - used.gpus)};
+  Capacity free = entry.capacity - Used();
+  for (const auto& [task, capacity] : held) free = free - capacity;
+  return free;
 }
 
 bool UpstreamSession::HostsLasting() const {
--- a/src/upstream_session.h
+++ b/src/upstream_session.h
@@ -97,6 +97,8 @@
   std::vector<UnacknowledgedFailure> failures;
 
   std::map<TaskKey, HostedRun> hosted;
+  /// Room kept for lasting tasks that are to be started here.
+  std::map<TaskKey, Capacity> held;
 
   /// A start without an answer. The upstream may execute it later, even in its next incarnation.
   struct UnansweredStart {
@@ -120,7 +122,7 @@
   Milliseconds drain_deadline{0};  ///< While draining: earliest time at which it stops.
 
   Capacity Used() const;
-  /// @returns the unreserved capacity; never negative.
+  /// @returns the capacity that is neither used nor held; negative where it is overcommitted.
   Capacity Free() const;
   bool HostsLasting() const;
   bool HostsLatencySensitive() const;
