Keep room that comes free for lasting tasks that wait

Cause: lasting tasks come first in the placement order, but one that fitted nowhere was passed over, and each part of room that came free went to a smaller task. Lasting tasks need up to 46 of an upstream's 64 GB; short ones need a tenth of that. Class of fault: backfilling without a reservation, which starves the large task.

Change: a lasting task that fits nowhere gets a hold on the upstream that has room soonest if no short task starts there, judged by the progress and the estimates of those that run. The choice is made again every second. Steps that find no room don't end the placement of their other tasks any more.

--- a/src/config.h
+++ b/src/config.h
@@ -348,6 +348,10 @@
 /// can't be, is logged again.
 inline constexpr std::int64_t kWaitReportMs = 1000;
 
+/// Milliseconds after which the upstream that keeps room for a lasting task is chosen again: the
+/// tasks that occupy it may take longer than estimated.
+inline constexpr std::int64_t kHoldReviewMs = 1000;
+
 /// Milliseconds without progress after which a task is moved, or its estimated run time if longer.
 inline constexpr std::int64_t kStalledMs = 1200;
 
--- a/src/events.cc
+++ b/src/events.cc
@@ -91,6 +91,7 @@
       {Event::kHandoverIgnored, "handover-ignored", EventLevel::kInfo},
       {Event::kTaskUnplaced, "task-unplaced", EventLevel::kWarning},
       {Event::kMoveHeld, "move-held", EventLevel::kInfo},
+      {Event::kRoomHeld, "room-held", EventLevel::kInfo},
       {Event::kPartitionClaimed, "partition-claimed", EventLevel::kInfo},
       {Event::kPartitionLoaded, "partition-loaded", EventLevel::kInfo},
       {Event::kPartitionLost, "partition-lost", EventLevel::kWarning},
--- a/src/events.h
+++ b/src/events.h
@@ -111,6 +111,7 @@
   kHandoverIgnored = 719,
   kTaskUnplaced = 720,
   kMoveHeld = 721,
+  kRoomHeld = 722,
   // Partitions of the job store, and the calls of callers.
   kPartitionClaimed = 800,
   kPartitionLoaded = 801,
--- a/src/job_placement.cc
+++ b/src/job_placement.cc
@@ -122,6 +122,48 @@
   return best;
 }
 
+/// Estimates when a short run ends: by its progress if that is known, otherwise by its estimate.
+/// The longer a run has exceeded its estimate, the later its end.
+Milliseconds ExpectedEnd(const HostedRun& run, Milliseconds now) {
+  const Milliseconds elapsed = now - run.ordered_at;
+  if (run.percent > 0) return now + elapsed * std::max(0, 100 - run.percent) / run.percent;
+  return now + std::max(run.estimate - elapsed, elapsed / 2);
+}
+
+std::optional<Milliseconds> RoomExpectedAt(const UpstreamCandidate& candidate,
+                                           const WaitingStep& waiting, const TaskKey& key,
+                                           Milliseconds now) {
+  if (Fits(candidate, waiting, key)) return now;
+  std::vector<std::pair<Milliseconds, Capacity>> ends;
+  for (const auto& [task, run] : candidate.session->hosted) {
+    if (run.lasting && run.state != HostedState::kStopping) continue;
+    ends.emplace_back(run.state == HostedState::kStopping ? now : ExpectedEnd(run, now),
+                      run.reserved);
+  }
+  std::sort(ends.begin(), ends.end(),
+            [](const auto& a, const auto& b) { return a.first < b.first; });
+  UpstreamCandidate later = candidate;
+  for (const auto& [end, reserved] : ends) {
+    later.free = later.free + reserved;
+    if (Fits(later, waiting, key)) return end;
+  }
+  return std::nullopt;
+}
+
+UpstreamCandidate* ChooseForHold(std::vector<UpstreamCandidate>* candidates,
+                                 const WaitingStep& waiting, const TaskKey& key, Milliseconds now) {
+  UpstreamCandidate* best = nullptr;
+  Milliseconds soonest{0};
+  for (UpstreamCandidate& candidate : *candidates) {
+    if (candidate.trial_only) continue;
+    const auto expected = RoomExpectedAt(candidate, waiting, key, now);
+    if (!expected || (best != nullptr && *expected >= soonest)) continue;
+    best = &candidate;
+    soonest = *expected;
+  }
+  return best;
+}
+
 RoomCounts CountRoom(std::map<UpstreamId, UpstreamSession>* sessions, const WaitingStep& waiting,
                      const TaskKey& key, Milliseconds now) {
   const Capacity needed = ReservationOf(waiting.spec());
--- a/src/job_placement.h
+++ b/src/job_placement.h
@@ -73,6 +73,18 @@
 RoomCounts CountRoom(std::map<UpstreamId, UpstreamSession>* sessions, const WaitingStep& waiting,
                      const TaskKey& key, Milliseconds now);
 
+/// Chooses the upstream that has room for a waiting lasting task soonest if no further short task
+/// starts there. Running lasting tasks are expected to stay.
+/// @returns nullptr if lasting tasks leave no room on any candidate.
+UpstreamCandidate* ChooseForHold(std::vector<UpstreamCandidate>* candidates,
+                                 const WaitingStep& waiting, const TaskKey& key, Milliseconds now);
+
+/// @returns when the candidate has room for the task if no further short task starts there, by the
+/// estimates of the short tasks that run there; no value if lasting tasks leave no room.
+std::optional<Milliseconds> RoomExpectedAt(const UpstreamCandidate& candidate,
+                                           const WaitingStep& waiting, const TaskKey& key,
+                                           Milliseconds now);
+
 /// Subtracts a task's reservation from the free capacity.
 void Reserve(UpstreamCandidate* candidate, const StepSpec& step);
 
--- a/src/job_scheduler.cc
+++ b/src/job_scheduler.cc
@@ -382,10 +382,10 @@
                       .index = index};
     UpstreamCandidate* candidate = ChooseCandidate(candidates, *waiting, key);
     if (candidate == nullptr) {
-      if (waiting->spec().lasting) {
-        m_unplaced_lasting.insert(waiting->job->spec().service);
-        ReportUnplaced(*waiting, key, now);
-      }
+      if (!waiting->spec().lasting) return;
+      ReportUnplaced(*waiting, key, now);
+      if (HoldFutureRoom(*waiting, key, candidates, now)) continue;
+      m_unplaced_lasting.insert(waiting->job->spec().service);
       return;
     }
     ++task.runs;
--- a/src/job_scheduler.h
+++ b/src/job_scheduler.h
@@ -228,7 +228,13 @@
   /// starts again.
   /// @returns nullptr if the task can't be moved now.
   UpstreamSession* PrepareMove(const TaskKey& task, const UpstreamSession& from, Milliseconds now);
-  void HoldRoom(const TaskKey& task, const Capacity& capacity, UpstreamSession* session);
+  /// Keeps the room that comes free on one upstream for a lasting task that fits nowhere yet, so
+  /// that shorter tasks don't take it.
+  /// @returns whether any upstream can get room for the task.
+  bool HoldFutureRoom(const WaitingStep& waiting, const TaskKey& task,
+                      std::vector<UpstreamCandidate>* candidates, Milliseconds now);
+  void HoldRoom(const TaskKey& task, const Capacity& capacity, UpstreamSession* session,
+                Milliseconds now);
   void DropHold(const TaskKey& task);
   /// Drops holds whose task doesn't wait for them any more or whose upstream can't be used.
   void DropStaleHolds(Milliseconds now);
@@ -259,9 +265,14 @@
   HolderRights m_rights;
   std::vector<UpstreamOrder> m_orders;
   std::map<ServiceName, std::int64_t> m_cpu_waiting;  ///< See ServiceDemand.
-  std::int64_t m_unanswered_bytes = 0;    ///< See SchedulerOptions::max_unanswered_bytes.
-  bool m_start_window_full = false;       ///< The last placement left tasks for later.
-  std::map<TaskKey, UpstreamId> m_holds;  ///< See UpstreamSession::held.
+  std::int64_t m_unanswered_bytes = 0;  ///< See SchedulerOptions::max_unanswered_bytes.
+  bool m_start_window_full = false;     ///< The last placement left tasks for later.
+  /// The upstream that keeps room for a lasting task, see UpstreamSession::held.
+  struct Hold {
+    UpstreamId upstream;
+    Milliseconds chosen_at{0};
+  };
+  std::map<TaskKey, Hold> m_holds;
   /// Services with a lasting task that fitted on no upstream at the last placement.
   std::set<ServiceName> m_unplaced_lasting;
   /// When a waiting lasting task, or one that can't be moved, was last logged.
--- a/src/job_scheduler_lasting.cc
+++ b/src/job_scheduler_lasting.cc
@@ -70,26 +70,56 @@
   return unavailable;
 }
 
-void JobScheduler::HoldRoom(const TaskKey& task, const Capacity& capacity,
-                            UpstreamSession* session) {
+bool JobScheduler::HoldFutureRoom(const WaitingStep& waiting, const TaskKey& task,
+                                  std::vector<UpstreamCandidate>* candidates, Milliseconds now) {
+  const auto hold = m_holds.find(task);
+  if (hold != m_holds.end() && now < hold->second.chosen_at + Milliseconds(config::kHoldReviewMs))
+    return true;
+  UpstreamCandidate* const chosen = ChooseForHold(candidates, waiting, task, now);
+  if (chosen == nullptr) {
+    DropHold(task);
+    return false;
+  }
+  const Milliseconds expected = RoomExpectedAt(*chosen, waiting, task, now).value_or(now);
+  const Capacity capacity = ReservationOf(waiting.spec());
+  if (hold != m_holds.end()) {
+    for (UpstreamCandidate& candidate : *candidates) {
+      if (candidate.session->entry.id == hold->second.upstream)
+        candidate.free = candidate.free + capacity;
+    }
+  }
+  HoldRoom(task, capacity, chosen->session, now);
+  chosen->free = chosen->free - capacity;
+  LogEvent(Event::kRoomHeld, {RequestField(task.job.str()),
+                              {"task", task.str()},
+                              {"upstream", chosen->session->entry.id},
+                              {"expected_ms", expected - now},
+                              {"free_millicores", chosen->free.cpu_millicores},
+                              {"free_mb", chosen->free.memory_mb}});
+  return true;
+}
+
+void JobScheduler::HoldRoom(const TaskKey& task, const Capacity& capacity, UpstreamSession* session,
+                            Milliseconds now) {
   DropHold(task);
   session->held[task] = capacity;
-  m_holds[task] = session->entry.id;
+  m_holds[task] = {.upstream = session->entry.id, .chosen_at = now};
 }
 
 void JobScheduler::DropHold(const TaskKey& task) {
   const auto hold = m_holds.find(task);
   if (hold == m_holds.end()) return;
-  if (UpstreamSession* const session = FindSession(hold->second)) session->held.erase(task);
+  if (UpstreamSession* const session = FindSession(hold->second.upstream))
+    session->held.erase(task);
   m_holds.erase(hold);
 }
 
 void JobScheduler::DropStaleHolds(Milliseconds now) {
   std::vector<TaskKey> stale;
-  for (const auto& [key, upstream] : m_holds) {
+  for (const auto& [key, hold] : m_holds) {
     const auto job = m_jobs.find(key.job);
     const TaskState* const task = job == m_jobs.end() ? nullptr : job->second->Find(key);
-    const UpstreamSession* const target = FindSession(upstream);
+    const UpstreamSession* const target = FindSession(hold.upstream);
     const bool usable = target != nullptr && IsUsable(*target, now);
     if (task == nullptr || task->done || !usable || (task->placed && !IsBeingStopped(key, *task))) {
       stale.push_back(key);
@@ -131,7 +161,7 @@
     report_held("no-room", unavailable);
     return nullptr;
   }
-  HoldRoom(task, ReservationOf(spec), target->session);
+  HoldRoom(task, ReservationOf(spec), target->session, now);
   return target->session;
 }
 
