Count the upstreams that all lasting tasks without room need

What callers saw: after the loss of a rack lasting tasks come back one by one, several seconds apart, or not before the rack returns (LOST).

Cause: a service whose lasting tasks fit nowhere reported one upstream more than it has, whatever their number, and only once their leases had ended. Each further upstream was ordered after the previous one had arrived. Class of fault: a shortage reported as a yes or no.

Change: tasks that wait, and those on upstreams that are draining, released or don't answer, are packed in all resources into the room that lasting tasks leave and into further upstreams; the need grows by the number of these. A task whose room comes free sooner than an upstream can be added isn't counted.

--- a/src/config.h
+++ b/src/config.h
@@ -348,6 +348,10 @@
 /// can't be, is logged again.
 inline constexpr std::int64_t kWaitReportMs = 1000;
 
+/// Milliseconds until an upstream that is added to a pool can start tasks: the move takes 1.5 s, its
+/// registration and first run list up to a second.
+inline constexpr std::int64_t kAddUpstreamMs = 2500;
+
 /// Milliseconds after which the upstream that keeps room for a lasting task is chosen again: the
 /// tasks that occupy it may take longer than estimated.
 inline constexpr std::int64_t kHoldReviewMs = 1000;
--- a/src/job_placement.cc
+++ b/src/job_placement.cc
@@ -201,6 +201,24 @@
   return counts;
 }
 
+int CountFurtherUpstreams(std::vector<Capacity> tasks, std::vector<Capacity> rooms,
+                          const Capacity& empty) {
+  std::sort(tasks.begin(), tasks.end(),
+            [](const Capacity& a, const Capacity& b) { return a.memory_mb > b.memory_mb; });
+  int further = 0;
+  for (const Capacity& task : tasks) {
+    if (!empty.Holds(task)) continue;
+    auto room = std::find_if(rooms.begin(), rooms.end(),
+                             [&](const Capacity& each) { return each.Holds(task); });
+    if (room == rooms.end()) {
+      ++further;
+      room = rooms.insert(rooms.end(), empty);
+    }
+    *room = *room - task;
+  }
+  return further;
+}
+
 void Reserve(UpstreamCandidate* candidate, const StepSpec& step) {
   candidate->free = candidate->free - ReservationOf(step);
   candidate->hosts_latency_sensitive =
--- a/src/job_placement.h
+++ b/src/job_placement.h
@@ -85,6 +85,14 @@
                                            const WaitingStep& waiting, const TaskKey& key,
                                            Milliseconds now);
 
+/// Packs tasks into upstreams, largest memory first.
+/// @param tasks what each task needs.
+/// @param rooms room on existing upstreams.
+/// @param empty capacity of a further upstream. Tasks that exceed it aren't counted.
+/// @returns the number of further upstreams that the tasks need.
+int CountFurtherUpstreams(std::vector<Capacity> tasks, std::vector<Capacity> rooms,
+                          const Capacity& empty);
+
 /// Subtracts a task's reservation from the free capacity.
 void Reserve(UpstreamCandidate* candidate, const StepSpec& step);
 
--- a/src/job_scheduler.cc
+++ b/src/job_scheduler.cc
@@ -34,10 +34,6 @@
   return job.state == JobState::kQueued || job.state == JobState::kRunning;
 }
 
-bool CountsAsCapacity(const UpstreamSession& session) {
-  return session.listed && !session.entry.draining && session.unanswered <= 1;
-}
-
 /// @returns the millicores needed to start waiting tasks in time. Short tasks can wait for cores to
 /// become free, so they count by estimate / permitted wait; late tasks may wait longer.
 std::int64_t WaitingDemand(const StepSpec& step, int tasks, bool on_time) {
@@ -384,9 +380,10 @@
     if (candidate == nullptr) {
       if (!waiting->spec().lasting) return;
       ReportUnplaced(*waiting, key, now);
-      if (HoldFutureRoom(*waiting, key, candidates, now)) continue;
-      m_unplaced_lasting.insert(waiting->job->spec().service);
-      return;
+      if (!HoldFutureRoom(*waiting, key, candidates, now)) {
+        m_unplaced_lasting[waiting->job->spec().service].push_back(ReservationOf(waiting->spec()));
+      }
+      continue;
     }
     ++task.runs;
     const std::uint64_t run = m_options.epoch * config::kRunsPerEpoch + task.runs;
@@ -520,7 +517,7 @@
 ServiceLoad JobScheduler::LoadOf(const ServiceName& service, Milliseconds now) const {
   ServiceLoad load{.on_time_backlog = 0, .backlog = 0, .capacity = 0};
   for (const auto& [id, session] : m_sessions) {
-    if (session.entry.service == service && CountsAsCapacity(session)) {
+    if (session.entry.service == service && session.CountsAsCapacity()) {
       load.capacity += session.entry.capacity.cpu_millicores;
     }
   }
@@ -548,7 +545,7 @@
   int not_released = 0;
   for (const auto& [id, session] : m_sessions) {
     if (session.entry.service != service) continue;
-    if (!CountsAsCapacity(session)) continue;
+    if (!session.CountsAsCapacity()) continue;
     ++demand.upstreams;
     if (session.released_until <= now) ++not_released;
     demand.cpu_capacity += session.entry.capacity.cpu_millicores;
@@ -579,8 +576,8 @@
     }
   }
   // Cores and spread don't show that memory, or other lasting tasks, leave no room for a task.
-  if (m_unplaced_lasting.count(service) > 0) {
-    demand.min_lasting_upstreams = std::max(demand.min_lasting_upstreams, not_released + 1);
+  if (const int further = FurtherUpstreamsForLasting(service, now); further > 0) {
+    demand.min_lasting_upstreams = std::max(demand.min_lasting_upstreams, not_released + further);
   }
   return demand;
 }
--- a/src/job_scheduler.h
+++ b/src/job_scheduler.h
@@ -70,8 +70,8 @@
   std::int64_t cpu_waiting = 0;
   /// Millicores needed for the current arrival rate of work, including refused work.
   std::int64_t cpu_offered = 0;
-  /// Minimum number of upstreams, by max_per_upstream of lasting steps, and by lasting tasks that
-  /// fit on none of the present upstreams.
+  /// Minimum number of upstreams, by max_per_upstream of lasting steps, and by lasting tasks
+  /// without room on the present upstreams.
   int min_lasting_upstreams = 0;
   /// Upstreams in the order in which they can be released, idle ones first.
   std::vector<ReleaseTime> release_order;
@@ -230,15 +230,18 @@
   UpstreamSession* PrepareMove(const TaskKey& task, const UpstreamSession& from, Milliseconds now);
   /// Keeps the room that comes free on one upstream for a lasting task that fits nowhere yet, so
   /// that shorter tasks don't take it.
-  /// @returns whether any upstream can get room for the task.
+  /// @returns whether the room is expected sooner than a further upstream could be added.
   bool HoldFutureRoom(const WaitingStep& waiting, const TaskKey& task,
                       std::vector<UpstreamCandidate>* candidates, Milliseconds now);
   void HoldRoom(const TaskKey& task, const Capacity& capacity, UpstreamSession* session,
-                Milliseconds now);
+                Milliseconds now, Milliseconds room_expected_at);
   void DropHold(const TaskKey& task);
   /// Drops holds whose task doesn't wait for them any more or whose upstream can't be used.
   void DropStaleHolds(Milliseconds now);
   bool IsBeingStopped(const TaskKey& key, const TaskState& task);
+  /// @returns how many upstreams a service needs beyond the present ones for lasting tasks that
+  /// have no room, or have to leave an upstream that is draining, released or doesn't answer.
+  int FurtherUpstreamsForLasting(const ServiceName& service, Milliseconds now) const;
   /// @returns whether a waiting task hasn't been logged for kWaitReportMs.
   bool IsReportDue(const TaskKey& task, Milliseconds now);
   void ReportUnplaced(const WaitingStep& waiting, const TaskKey& task, Milliseconds now);
@@ -271,10 +274,12 @@
   struct Hold {
     UpstreamId upstream;
     Milliseconds chosen_at{0};
+    Milliseconds room_expected_at{0};
   };
   std::map<TaskKey, Hold> m_holds;
-  /// Services with a lasting task that fitted on no upstream at the last placement.
-  std::set<ServiceName> m_unplaced_lasting;
+  /// Lasting tasks that found no room at the last placement, and get none before a further upstream
+  /// could be added.
+  std::map<ServiceName, std::vector<Capacity>> m_unplaced_lasting;
   /// When a waiting lasting task, or one that can't be moved, was last logged.
   std::map<TaskKey, Milliseconds> m_wait_reports;
   std::map<ServiceName, OfferedLoad> m_offered;
--- a/src/job_scheduler_lasting.cc
+++ b/src/job_scheduler_lasting.cc
@@ -72,9 +72,10 @@
 
 bool JobScheduler::HoldFutureRoom(const WaitingStep& waiting, const TaskKey& task,
                                   std::vector<UpstreamCandidate>* candidates, Milliseconds now) {
+  const Milliseconds add_time(config::kAddUpstreamMs);
   const auto hold = m_holds.find(task);
   if (hold != m_holds.end() && now < hold->second.chosen_at + Milliseconds(config::kHoldReviewMs))
-    return true;
+    return hold->second.room_expected_at <= now + add_time;
   UpstreamCandidate* const chosen = ChooseForHold(candidates, waiting, task, now);
   if (chosen == nullptr) {
     DropHold(task);
@@ -88,7 +89,7 @@
         candidate.free = candidate.free + capacity;
     }
   }
-  HoldRoom(task, capacity, chosen->session, now);
+  HoldRoom(task, capacity, chosen->session, now, expected);
   chosen->free = chosen->free - capacity;
   LogEvent(Event::kRoomHeld, {RequestField(task.job.str()),
                               {"task", task.str()},
@@ -96,14 +97,15 @@
                               {"expected_ms", expected - now},
                               {"free_millicores", chosen->free.cpu_millicores},
                               {"free_mb", chosen->free.memory_mb}});
-  return true;
+  return expected <= now + add_time;
 }
 
 void JobScheduler::HoldRoom(const TaskKey& task, const Capacity& capacity, UpstreamSession* session,
-                            Milliseconds now) {
+                            Milliseconds now, Milliseconds room_expected_at) {
   DropHold(task);
   session->held[task] = capacity;
-  m_holds[task] = {.upstream = session->entry.id, .chosen_at = now};
+  m_holds[task] = {
+      .upstream = session->entry.id, .chosen_at = now, .room_expected_at = room_expected_at};
 }
 
 void JobScheduler::DropHold(const TaskKey& task) {
@@ -161,8 +163,36 @@
     report_held("no-room", unavailable);
     return nullptr;
   }
-  HoldRoom(task, ReservationOf(spec), target->session, now);
+  HoldRoom(task, ReservationOf(spec), target->session, now, now);
   return target->session;
 }
 
+int JobScheduler::FurtherUpstreamsForLasting(const ServiceName& service, Milliseconds now) const {
+  std::vector<Capacity> tasks;
+  std::vector<Capacity> rooms;
+  Capacity empty;
+  for (const auto& [id, session] : m_sessions) {
+    if (session.entry.service != service) continue;
+    const Capacity& capacity = session.entry.capacity;
+    empty.cpu_millicores = std::max(empty.cpu_millicores, capacity.cpu_millicores);
+    empty.memory_mb = std::max(empty.memory_mb, capacity.memory_mb);
+    empty.gpus = std::max(empty.gpus, capacity.gpus);
+    const bool stays = session.CountsAsCapacity() && session.released_until <= now;
+    Capacity room = capacity;
+    for (const auto& [task, run] : session.hosted) {
+      if (!run.lasting) continue;
+      room = room - run.reserved;
+      const bool has_to_leave = !stays && run.state != HostedState::kStopping;
+      if (has_to_leave && m_holds.count(task) == 0) tasks.push_back(run.reserved);
+    }
+    for (const auto& [task, held] : session.held) room = room - held;
+    if (stays) rooms.push_back(room);
+  }
+  const auto unplaced = m_unplaced_lasting.find(service);
+  if (unplaced == m_unplaced_lasting.end()) return CountFurtherUpstreams(tasks, rooms, empty);
+  // Unplaced tasks have found the present rooms unsuitable, which can be due to max_per_upstream.
+  const int further = CountFurtherUpstreams(unplaced->second, {}, empty);
+  return further + CountFurtherUpstreams(tasks, rooms, empty);
+}
+
 }  // namespace endivewood
--- a/src/upstream_session.h
+++ b/src/upstream_session.h
@@ -124,6 +124,9 @@
   Capacity Used() const;
   /// @returns the capacity that is neither used nor held; negative where it is overcommitted.
   Capacity Free() const;
+  /// @returns whether it belongs to the capacity of its service: it is listed, answers and isn't
+  /// draining.
+  bool CountsAsCapacity() const { return listed && !entry.draining && unanswered <= 1; }
   bool HostsLasting() const;
   bool HostsLatencySensitive() const;
   bool HostsBestEffort() const;
--- a/tests/lasting_tasks_test.cc
+++ b/tests/lasting_tasks_test.cc
@@ -155,5 +155,34 @@
   CHECK(running == 6);
 }
 
+TEST_CASE("the need of a pool covers the lasting tasks of a dark rack before their leases end") {
+  SchedulerSimulation simulation({.upstreams = 4});
+  StepSpec lasting = LargeLastingStep(9000);
+  lasting.count = 4;
+  lasting.max_per_upstream = 0;
+  simulation.Submit(simulation.Spec("lasting", {lasting}), test_policy);
+  simulation.Run(Milliseconds(3000));
+  CHECK(simulation.holder->Demand(test_service, simulation.now).min_lasting_upstreams == 0);
+  simulation.upstreams[0]->alive = false;
+  simulation.upstreams[1]->alive = false;
+  simulation.Run(Milliseconds(2500));
+  const ServiceDemand demand = simulation.holder->Demand(test_service, simulation.now);
+  CHECK(demand.upstreams == 2);
+  CHECK(demand.min_lasting_upstreams == 4);
+}
+
+TEST_CASE("further upstreams are counted in every resource") {
+  const Capacity empty{.cpu_millicores = 32000, .memory_mb = 64000};
+  const Capacity wide{.cpu_millicores = 16000, .memory_mb = 4000};
+  const Capacity large{.cpu_millicores = 4000, .memory_mb = 46000};
+  CHECK(CountFurtherUpstreams({wide, wide, large}, {}, empty) == 2);
+  CHECK(CountFurtherUpstreams({large, large}, {{.cpu_millicores = 32000, .memory_mb = 45000}},
+                              empty) == 2);
+  CHECK(CountFurtherUpstreams({wide, large}, {{.cpu_millicores = 20000, .memory_mb = 50000}},
+                              empty) == 0);
+  // A task that fits on no empty upstream needs none.
+  CHECK(CountFurtherUpstreams({{.cpu_millicores = 33000, .memory_mb = 1}}, {}, empty) == 0);
+}
+
 }  // namespace
 }  // namespace endivewood::testing
