Replace instances that their scheduler has lost

Cause: a pool's need was compared with the platform's list, which shows an instance as up although nothing answers there. The pool seemed large enough, and no instance was ordered. Class of fault: two parts count the same thing from different sources.

Evidence: a test that fails on: two of six instances dark, need 6, no move from the spare pool.

Change: schedulers report the upstreams that are draining or don't answer. The planner doesn't count their instances, nor move them to other pools, until the scheduler reports them as usable again or the list shows another upstream; also when the scheduler has forgotten them meanwhile.

Test: the case now passes the lost upstreams in the report, as the scheduler does, and lets the scheduler forget them after 3 s; its bound is unchanged.

--- a/src/job_scheduler.cc
+++ b/src/job_scheduler.cc
@@ -545,6 +545,7 @@
   int not_released = 0;
   for (const auto& [id, session] : m_sessions) {
     if (session.entry.service != service) continue;
+    if (session.IsLost()) demand.lost.push_back(id);
     if (!session.CountsAsCapacity()) continue;
     ++demand.upstreams;
     if (session.released_until <= now) ++not_released;
--- a/src/job_scheduler.h
+++ b/src/job_scheduler.h
@@ -75,6 +75,8 @@
   int min_lasting_upstreams = 0;
   /// Upstreams in the order in which they can be released, idle ones first.
   std::vector<ReleaseTime> release_order;
+  /// Upstreams that are draining or don't answer.
+  std::vector<UpstreamId> lost;
 
   bool operator==(const ServiceDemand&) const = default;
 };
--- a/src/job_scheduler_lasting.cc
+++ b/src/job_scheduler_lasting.cc
@@ -177,16 +177,16 @@
     empty.cpu_millicores = std::max(empty.cpu_millicores, capacity.cpu_millicores);
     empty.memory_mb = std::max(empty.memory_mb, capacity.memory_mb);
     empty.gpus = std::max(empty.gpus, capacity.gpus);
-    const bool stays = session.CountsAsCapacity() && session.released_until <= now;
+    const bool leaves = session.IsLost() || session.released_until > now;
     Capacity room = capacity;
     for (const auto& [task, run] : session.hosted) {
       if (!run.lasting) continue;
       room = room - run.reserved;
-      const bool has_to_leave = !stays && run.state != HostedState::kStopping;
-      if (has_to_leave && m_holds.count(task) == 0) tasks.push_back(run.reserved);
+      const bool needs_room = leaves && run.state != HostedState::kStopping;
+      if (needs_room && m_holds.count(task) == 0) tasks.push_back(run.reserved);
     }
     for (const auto& [task, held] : session.held) room = room - held;
-    if (stays) rooms.push_back(room);
+    if (session.listed && !leaves) rooms.push_back(room);
   }
   const auto unplaced = m_unplaced_lasting.find(service);
   if (unplaced == m_unplaced_lasting.end()) return CountFurtherUpstreams(tasks, rooms, empty);
--- a/src/maintenance_planner.cc
+++ b/src/maintenance_planner.cc
@@ -89,6 +89,8 @@
                                   Milliseconds now) {
   const int millicores = InstanceMillicores();
   m_release_order[service] = demand.release_order;
+  for (const ReleaseTime& release : demand.release_order) m_lost.erase(release.upstream);
+  m_lost.insert(demand.lost.begin(), demand.lost.end());
   if (millicores <= 0) return;
   m_forecast.Observe(service, demand.cpu_offered, now);
   if (const auto learned = m_forecast.TakeChanges(m_options.unix_offset)) {
@@ -129,6 +131,7 @@
     }
     m_machines = std::exchange(m_partial_list, {});
     m_listed = true;
+    ForgetUnlistedUpstreams();
     RecordConfiguredCapacity();
     m_next_list = now + Milliseconds(config::kMachineListIntervalMs);
     // After the settle time an order shows in the list, or it has failed.
@@ -221,6 +224,12 @@
   return down;
 }
 
+void MaintenancePlanner::ForgetUnlistedUpstreams() {
+  std::set<UpstreamId> listed;
+  for (const auto& [name, machine] : m_machines) listed.insert(machine.upstream);
+  std::erase_if(m_lost, [&](const UpstreamId& upstream) { return listed.count(upstream) == 0; });
+}
+
 bool MaintenancePlanner::NeedsRelease(const MachineEntry& machine) const {
   const CatalogService* const spare = m_catalog.Spare();
   return machine.upstream.valid() && (spare == nullptr || machine.pool != spare->name);
@@ -359,6 +368,10 @@
     // lasting tasks move only to an instance with free capacity for them.
     if (release != m_pending_releases.end() && release->second.wave && NeedsRelease(machine))
       continue;
+    // The list shows a machine as up although nothing answers there. Replacements are needed until
+    // its scheduler can use it again.
+    const bool lost = NeedsRelease(machine) && m_lost.count(machine.upstream) > 0;
+    if (lost && pending_order == m_pending_orders.end()) continue;
     // The list shows the effect of an order only after a delay.
     if (release != m_pending_releases.end() && !release->second.wave) {
       ++sizes[release->second.target];
@@ -374,18 +387,25 @@
 void MaintenancePlanner::ReportPoolSizes(const std::map<ServiceName, int>& sizes) {
   std::map<ServiceName, int> up;
   std::map<ServiceName, int> unreported;
+  std::map<ServiceName, int> lost;
   const std::map<UpstreamId, Milliseconds> reported = ReleaseTimes();
   for (const auto& [name, machine] : m_machines) {
     if (machine.state != MachineState::kUp) continue;
     ++up[machine.pool];
     if (reported.count(machine.upstream) == 0) ++unreported[machine.pool];
+    if (m_lost.count(machine.upstream) > 0) ++lost[machine.pool];
   }
   std::map<ServiceName, int> for_waves = CountReleases(ReleaseKind::kWave);
   std::map<ServiceName, int> for_moves = CountReleases(ReleaseKind::kMove);
   for (const auto& [service, size] : sizes) {
     const int need = m_sizing.CurrentNeedOf(service).value_or(0);
-    const std::vector<int> numbers = {
-        size, need, up[service], unreported[service], for_waves[service], for_moves[service]};
+    const std::vector<int> numbers = {size,
+                                      need,
+                                      up[service],
+                                      unreported[service],
+                                      lost[service],
+                                      for_waves[service],
+                                      for_moves[service]};
     std::vector<int>& last = m_reported_sizes[service];
     if (last == numbers) continue;
     last = numbers;
@@ -394,6 +414,7 @@
                                 {"need", need},
                                 {"up", up[service]},
                                 {"unreported", unreported[service]},
+                                {"lost", lost[service]},
                                 {"releases_for_waves", for_waves[service]},
                                 {"releases_for_moves", for_moves[service]}});
   }
@@ -405,7 +426,8 @@
   std::deque<const MachineEntry*> instances;
   for (const auto& [name, machine] : m_machines) {
     const bool free = machine.pool == from && machine.state == MachineState::kUp &&
-                      m_pending_releases.count(name) == 0 && m_pending_orders.count(name) == 0;
+                      m_pending_releases.count(name) == 0 && m_pending_orders.count(name) == 0 &&
+                      m_lost.count(machine.upstream) == 0;
     if (free && machine.upstream.valid()) by_upstream.emplace(machine.upstream, &machine);
     if (free && !machine.upstream.valid()) instances.push_back(&machine);
   }
--- a/src/maintenance_planner.h
+++ b/src/maintenance_planner.h
@@ -108,6 +108,7 @@
   std::map<ServiceName, int> CountReleases(ReleaseKind kind) const;
   int ReleaseLimitOf(const ServiceName& service, int minimum) const;
   std::map<ServiceName, int> PoolSizes() const;
+  void ForgetUnlistedUpstreams();
   void ReportPoolSizes(const std::map<ServiceName, int>& sizes);
   std::deque<const MachineEntry*> InstancesToMove(const ServiceName& from) const;
   std::map<UpstreamId, Milliseconds> ReleaseTimes() const;
@@ -138,6 +139,8 @@
   DemandForecast m_forecast;
   bool m_capacity_known = false;
   std::map<ServiceName, std::vector<ReleaseTime>> m_release_order;  ///< Shortest first.
+  /// Upstreams that a scheduler has reported as lost and not as usable since.
+  std::set<UpstreamId> m_lost;
   /// Last logged numbers of each pool, see Event::kPoolSize.
   std::map<ServiceName, std::vector<int>> m_reported_sizes;
   std::vector<NodeCall> m_node_calls;
--- a/src/node_calls.cc
+++ b/src/node_calls.cc
@@ -12,7 +12,7 @@
 ENDIVEWOOD_CODEC(endivewood::ReleaseTime, v.upstream, v.left)
 ENDIVEWOOD_CODEC(endivewood::ServiceDemand, v.upstreams, v.cpu_capacity, v.cpu_running,
                  v.cpu_lasting, v.cpu_waiting, v.cpu_offered, v.min_lasting_upstreams,
-                 v.release_order)
+                 v.release_order, v.lost)
 ENDIVEWOOD_CODEC(endivewood::SubmitCall, v.spec, v.policy)
 ENDIVEWOOD_CODEC(endivewood::StatusCall, v.queue, v.service, v.job)
 ENDIVEWOOD_CODEC(endivewood::CancelCall, v.queue, v.service, v.job)
--- a/src/upstream_session.h
+++ b/src/upstream_session.h
@@ -124,9 +124,10 @@
   Capacity Used() const;
   /// @returns the capacity that is neither used nor held; negative where it is overcommitted.
   Capacity Free() const;
-  /// @returns whether it belongs to the capacity of its service: it is listed, answers and isn't
-  /// draining.
-  bool CountsAsCapacity() const { return listed && !entry.draining && unanswered <= 1; }
+  /// @returns whether it is draining or doesn't answer. One order without an answer isn't enough.
+  bool IsLost() const { return entry.draining || unanswered > 1; }
+  /// @returns whether it belongs to the capacity of its service.
+  bool CountsAsCapacity() const { return listed && !IsLost(); }
   bool HostsLasting() const;
   bool HostsLatencySensitive() const;
   bool HostsBestEffort() const;
--- a/tests/maintenance_planner_test.cc
+++ b/tests/maintenance_planner_test.cc
@@ -260,11 +260,16 @@
       {.version = 1, .services = {{.name = test_service}, {.name = spare, .spare = true}}});
   while (fleet.now < Milliseconds(8000)) {
     const bool dark = fleet.now > Milliseconds(3000);
+    // The scheduler forgets upstreams that don't answer when their leases have ended.
+    const bool forgotten = fleet.now > Milliseconds(6000);
     ServiceDemand demand{.upstreams = dark ? kInstances - kDark : kInstances,
                          .min_lasting_upstreams = kInstances};
     for (int i = 0; i < demand.upstreams; ++i) {
       demand.release_order.push_back({.upstream = fleet.machines[i].upstream});
     }
+    for (int i = demand.upstreams; i < kInstances && !forgotten; ++i) {
+      demand.lost.push_back(fleet.machines[i].upstream);
+    }
     planner.OnDemand(test_service, demand, fleet.now);
     fleet.Tick(&planner);
     if (!dark) CHECK(fleet.moved_to.count(test_service) == 0);
