--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -33,6 +33,7 @@
     Capacity needs;
     std::string checkpoint;
     bool lasting = false;
+    std::optional<Milliseconds> stops_at;  ///< End of a run that has been ordered to stop.
   };
 
   UpstreamEntry entry;
@@ -40,11 +41,17 @@
   bool reachable_by_old_holder = true;  ///< From the previous holder while it still runs.
   bool alive = true;
   bool fails_all = false;
-  bool stalled = false;  ///< Tasks make no progress.
+  bool stalled = false;         ///< Tasks make no progress.
+  Milliseconds stop_time{0};    ///< From a stop order to the end of the run.
+  Milliseconds listed_from{0};  ///< Its registry entry appears at this time.
+  /// An upstream that is no longer alive keeps its registry entry until this time.
+  Milliseconds listed_until{0};
   std::map<TaskKey, Running> running;
   std::vector<EndedRow> ended;
   std::uint64_t acknowledged_up_to = 0;
 
+  bool IsListed(Milliseconds now) const { return alive ? now >= listed_from : now < listed_until; }
+
   std::int64_t ClockAt(Milliseconds now) const { return (now - m_start_time).count(); }
 
   void Restart(Milliseconds now, std::int64_t start_time) {
@@ -65,12 +72,18 @@
       while (!running.empty()) End(running.begin()->first, RunEnd::kLapsed);
     }
     std::vector<TaskKey> finished;
+    std::vector<TaskKey> stopped;
     for (const auto& [task, run] : running) {
+      if (run.stops_at) {
+        if (*run.stops_at <= now) stopped.push_back(task);
+        continue;
+      }
       if (!run.lasting && !stalled && now - run.started >= run.duration) {
         finished.push_back(task);
       }
     }
     for (const TaskKey& task : finished) End(task, fails_all ? RunEnd::kFailed : RunEnd::kDone);
+    for (const TaskKey& task : stopped) End(task, RunEnd::kStopped);
   }
 
   OrderReply Start(const StartOrder& order, std::uint64_t token, const StepSpec& step,
@@ -92,7 +105,8 @@
                                      .memory_mb = step.memory_mb,
                                      .gpus = step.gpus},
                            .checkpoint = order.checkpoint,
-                           .lasting = step.lasting};
+                           .lasting = step.lasting,
+                           .stops_at = std::nullopt};
     return {.outcome = OrderOutcome::kDone, .clock = ClockAt(now)};
   }
 
@@ -102,7 +116,13 @@
     auto& last_ended = m_last_ended_runs[order.task];
     last_ended = std::max(last_ended, order.run);
     const auto found = running.find(order.task);
-    if (found != running.end() && found->second.run == order.run) End(order.task, RunEnd::kStopped);
+    if (found != running.end() && found->second.run == order.run) {
+      if (stop_time == Milliseconds{0}) {
+        End(order.task, RunEnd::kStopped);
+      } else if (!found->second.stops_at) {
+        found->second.stops_at = now + stop_time;
+      }
+    }
     return {.outcome = OrderOutcome::kDone, .clock = ClockAt(now)};
   }
 
@@ -175,27 +195,36 @@
     Capacity capacity{.cpu_millicores = 8000, .memory_mb = 16000, .gpus = 0};
     std::uint64_t epoch = 1;
     unsigned seed = 1;
+    ServiceName service = test_service;
+    Milliseconds registry_interval{500};  ///< Time between two reads of the registry.
+    bool run_for_estimate = false;        ///< Tasks take their estimate, not `task_duration`.
+    bool run_when_due = false;  ///< The holder runs only when it is due, instead of at each step.
   };
 
-  explicit SchedulerSimulation(Options options) : m_options(options), m_random(options.seed) {
+  explicit SchedulerSimulation(const Options& options)
+      : m_options(options), m_random(options.seed) {
     SilenceEvents();
     for (int i = 0; i < options.upstreams; ++i) AddUpstream();
     StartNewHolder();
   }
 
   FakeUpstream& AddUpstream() {
+    return AddUpstream(UpstreamId("u" + std::to_string(upstreams.size())), RackName("r1"), 1);
+  }
+
+  FakeUpstream& AddUpstream(const UpstreamId& id, const RackName& rack, std::int64_t start_time) {
     auto upstream = std::make_unique<FakeUpstream>();
-    const std::string name = "u" + std::to_string(upstreams.size());
-    upstream->entry = {.id = UpstreamId(name),
-                       .service = test_service,
+    upstream->entry = {.id = id,
+                       .service = m_options.service,
                        .endpoint = {.address = "127.0.0.1", .port = 1},
                        .data_centre = DataCentreName("dc"),
                        .capacity = m_options.capacity,
-                       .labels = {"a", "r1"},
-                       .rack = RackName("r1"),
+                       .labels = {"a", rack.str()},
+                       .rack = rack,
                        .draining = false,
                        .remaining = Milliseconds{0},
-                       .start_time = 1};
+                       .start_time = start_time};
+    m_by_id[id] = upstream.get();
     upstreams.push_back(std::move(upstream));
     return *upstreams.back();
   }
@@ -220,7 +249,7 @@
   JobSpec Spec(const std::string& id, std::vector<StepSpec> steps) const {
     return {.id = JobId(id),
             .queue = QueueName("q"),
-            .service = test_service,
+            .service = m_options.service,
             .payload = "text",
             .steps = std::move(steps)};
   }
@@ -293,16 +322,14 @@
   double RandomFraction() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
 
   FakeUpstream* Find(const UpstreamId& id) {
-    for (const auto& upstream : upstreams) {
-      if (upstream->entry.id == id) return upstream.get();
-    }
-    return nullptr;
+    const auto found = m_by_id.find(id);
+    return found == m_by_id.end() ? nullptr : found->second;
   }
 
   void PublishRegistry() {
     std::vector<UpstreamEntry> entries;
     for (const auto& upstream : upstreams) {
-      if (upstream->alive) entries.push_back(upstream->entry);
+      if (upstream->IsListed(now)) entries.push_back(upstream->entry);
     }
     holder->SetUpstreams(entries, now);
   }
@@ -315,7 +342,7 @@
         if (row.end == RunEnd::kDone) m_done.insert(row.task);
       }
     }
-    if (now.count() % 500 == 0) PublishRegistry();
+    if (now.count() % m_options.registry_interval.count() == 0) PublishRegistry();
     std::vector<DelayedOrder> due;
     std::erase_if(m_delayed_orders, [&](const DelayedOrder& delayed) {
       if (delayed.at > now) return false;
@@ -330,7 +357,9 @@
     std::swap(answers, m_answers);
     for (const auto& answer : answers) answer();
     AnswerPendingRenews();
-    holder->Run(now, Milliseconds{0}, {.extend = may_extend, .move = true, .confirmed_at = now});
+    if (!m_options.run_when_due || holder->NextDue(now) <= now) {
+      holder->Run(now, Milliseconds{0}, {.extend = may_extend, .move = true, .confirmed_at = now});
+    }
     Deliver(holder.get(), epoch);
     if (old_holder) {
       const HolderRights rights{.extend = now < old_confirmed_at + Milliseconds(6000),
@@ -388,7 +417,8 @@
       ++starts;
       const StepSpec& step = specs.at(start->task.job).steps[start->task.step];
       CheckDependencies(*start);
-      return upstream->Start(*start, token, step, task_duration, now);
+      const Milliseconds duration = m_options.run_for_estimate ? step.estimate : task_duration;
+      return upstream->Start(*start, token, step, duration, now);
     }
     if (const auto* stop = std::get_if<StopOrder>(&order)) return upstream->Stop(*stop, token, now);
     return {.outcome = OrderOutcome::kDone, .clock = upstream->ClockAt(now)};
@@ -457,8 +487,26 @@
     }
   }
 
+  /// A running task, ordered by hash, as comparing names is slow.
+  struct HashedTask {
+    std::size_t hash = 0;
+    const TaskKey* key = nullptr;
+
+    bool operator==(const HashedTask& other) const {
+      return hash == other.hash && *key == *other.key;
+    }
+    bool operator<(const HashedTask& other) const {
+      return hash != other.hash ? hash < other.hash : *key < *other.key;
+    }
+  };
+
+  static HashedTask Hashed(const TaskKey& key) {
+    const auto step_and_index = static_cast<std::size_t>(key.step) * 1009 + key.index;
+    return {.hash = std::hash<std::string>{}(key.job.str()) * 31 + step_and_index, .key = &key};
+  }
+
   void Check() {
-    std::map<TaskKey, int> running;
+    m_running.clear();
     for (const auto& upstream : upstreams) {
       if (!upstream->alive) continue;
       const Capacity used = upstream->Used();
@@ -466,15 +514,22 @@
           used.memory_mb > upstream->entry.capacity.memory_mb) {
         violations.push_back({"capacity: " + upstream->entry.id.str(), now});
       }
-      for (const auto& [task, run] : upstream->running) ++running[task];
+      for (const auto& [task, run] : upstream->running) m_running.push_back(Hashed(task));
     }
-    for (const auto& [task, count] : running) {
-      if (count > 1) violations.push_back({"twice: " + task.str(), now});
+    std::sort(m_running.begin(), m_running.end());
+    for (auto task = m_running.begin(); task != m_running.end();) {
+      task = std::adjacent_find(task, m_running.end());
+      if (task == m_running.end()) break;
+      violations.push_back({"twice: " + task->key->str(), now});
+      task = std::find_if(task, m_running.end(),
+                          [&](const HashedTask& other) { return !(other == *task); });
     }
   }
 
   Options m_options;
   std::mt19937 m_random;
+  std::map<UpstreamId, FakeUpstream*> m_by_id;
+  std::vector<HashedTask> m_running;  ///< Buffer of Check.
   std::vector<PendingRenew> m_pending_renews;
   std::vector<DelayedOrder> m_delayed_orders;
   std::vector<std::function<void()>> m_answers;
