Run a lasting task on a released upstream while there is no other room

What callers saw: a lasting task that was stopped or failed during a wave doesn't run again for ten seconds (LOST).

Cause: all upstreams with room were released for the wave and closed to the task. They could not become empty either: the waiting task counts against max_unavailable, so the tasks that still ran there were not moved. A wave's release has no time limit. Class of fault: a circular wait of two reservations.

Change: a lasting task for which no room is or comes free starts on a released upstream that still runs tasks. The planner waits for such an upstream anyway. Empty ones, which may already have been reported as released, stay closed.

--- a/src/job_placement.cc
+++ b/src/job_placement.cc
@@ -49,6 +49,30 @@
           step.lasting ? -free : free};
 }
 
+/// @returns whether an upstream can run tasks, released or not.
+bool CanRunTasks(const UpstreamSession& session, Milliseconds now) {
+  if (!session.listed || !session.fenced || !session.registered) return false;
+  if (session.entry.draining || session.unanswered > 0) return false;
+  if (session.avoid_until > now || session.full_until > now) return false;
+  return session.clock.known() && session.lease_until > session.clock.LowerBoundAt(now);
+}
+
+UpstreamCandidate CandidateOf(UpstreamSession* session, bool trial_only) {
+  return {.session = session,
+          .free = session->Free(),
+          .hosts_latency_sensitive = session->HostsLatencySensitive(),
+          .hosts_best_effort = session->HostsBestEffort(),
+          .trial_only = trial_only};
+}
+
+/// Estimates when a short run ends: by its progress if that is known, otherwise by its estimate.
+/// The longer a run has exceeded its estimate, the later its end.
+Milliseconds ExpectedEnd(const HostedRun& run, Milliseconds now) {
+  const Milliseconds elapsed = now - run.ordered_at;
+  if (run.percent > 0) return now + elapsed * std::max(0, 100 - run.percent) / run.percent;
+  return now + std::max(run.estimate - elapsed, elapsed / 2);
+}
+
 }  // namespace
 
 bool ComesBefore(const WaitingStep& a, const WaitingStep& b) {
@@ -65,11 +89,19 @@
 }
 
 bool IsUsable(const UpstreamSession& session, Milliseconds now) {
-  if (!session.listed || !session.fenced || !session.registered) return false;
-  if (session.entry.draining || session.unanswered > 0) return false;
-  if (session.avoid_until > now || session.full_until > now) return false;
-  if (session.released_until > now) return false;
-  return session.clock.known() && session.lease_until > session.clock.LowerBoundAt(now);
+  return CanRunTasks(session, now) && session.released_until <= now;
+}
+
+std::vector<UpstreamCandidate> FindBusyReleased(std::map<UpstreamId, UpstreamSession>* sessions,
+                                                Milliseconds now) {
+  std::vector<UpstreamCandidate> candidates;
+  for (auto& [id, session] : *sessions) {
+    const bool busy_released = session.released_until > now && !session.hosted.empty();
+    if (!busy_released || !CanRunTasks(session, now)) continue;
+    if (session.failed_streak >= config::kFailedStreakLimit) continue;
+    candidates.push_back(CandidateOf(&session, false));
+  }
+  return candidates;
 }
 
 std::vector<UpstreamCandidate> FindCandidates(std::map<UpstreamId, UpstreamSession>* sessions,
@@ -79,11 +111,7 @@
     if (!IsUsable(session, now)) continue;
     const bool suspect = session.failed_streak >= config::kFailedStreakLimit;
     if (suspect && !session.hosted.empty()) continue;
-    candidates.push_back({.session = &session,
-                          .free = session.Free(),
-                          .hosts_latency_sensitive = session.HostsLatencySensitive(),
-                          .hosts_best_effort = session.HostsBestEffort(),
-                          .trial_only = suspect});
+    candidates.push_back(CandidateOf(&session, suspect));
   }
   return candidates;
 }
@@ -122,14 +150,6 @@
   return best;
 }
 
-/// Estimates when a short run ends: by its progress if that is known, otherwise by its estimate.
-/// The longer a run has exceeded its estimate, the later its end.
-Milliseconds ExpectedEnd(const HostedRun& run, Milliseconds now) {
-  const Milliseconds elapsed = now - run.ordered_at;
-  if (run.percent > 0) return now + elapsed * std::max(0, 100 - run.percent) / run.percent;
-  return now + std::max(run.estimate - elapsed, elapsed / 2);
-}
-
 std::optional<Milliseconds> RoomExpectedAt(const UpstreamCandidate& candidate,
                                            const WaitingStep& waiting, const TaskKey& key,
                                            Milliseconds now) {
--- a/src/job_placement.h
+++ b/src/job_placement.h
@@ -44,6 +44,11 @@
 std::vector<UpstreamCandidate> FindCandidates(std::map<UpstreamId, UpstreamSession>* sessions,
                                               Milliseconds now);
 
+/// @returns the upstreams that would be usable if they weren't released, and that still run tasks.
+/// The planner waits for these, so a lasting task without any other room can run there meanwhile.
+std::vector<UpstreamCandidate> FindBusyReleased(std::map<UpstreamId, UpstreamSession>* sessions,
+                                                Milliseconds now);
+
 /// @returns whether the upstream has the capacity and properties for a task of the step. Room that
 /// is held for this task counts as free.
 bool Fits(const UpstreamCandidate& candidate, const WaitingStep& waiting, const TaskKey& key);
--- a/src/job_scheduler.cc
+++ b/src/job_scheduler.cc
@@ -380,9 +380,13 @@
     if (candidate == nullptr) {
       if (!waiting->spec().lasting) return;
       ReportUnplaced(*waiting, key, now);
-      if (!HoldFutureRoom(*waiting, key, candidates, now)) {
-        m_unplaced_lasting[waiting->job->spec().service].push_back(ReservationOf(waiting->spec()));
-      }
+      if (HoldFutureRoom(*waiting, key, candidates, now)) continue;
+      m_unplaced_lasting[waiting->job->spec().service].push_back(ReservationOf(waiting->spec()));
+      std::vector<UpstreamCandidate> released = FindBusyReleased(&m_sessions, now);
+      candidate = ChooseCandidate(&released, *waiting, key);
+      if (candidate == nullptr) continue;
+      ++task.runs;
+      Start(waiting, index, m_options.epoch * config::kRunsPerEpoch + task.runs, candidate, now);
       continue;
     }
     ++task.runs;
--- a/tests/lasting_tasks_test.cc
+++ b/tests/lasting_tasks_test.cc
@@ -140,6 +140,42 @@
   }
 }
 
+TEST_CASE("a lasting task without other room runs on a released upstream until that is empty") {
+  SchedulerSimulation simulation({.upstreams = 2});
+  const std::vector<TaskKey> first = {Key("a", 0, 0), Key("b", 0, 0)};
+  simulation.Submit(simulation.Spec("a", {LargeLastingStep(9000)}), test_policy);
+  simulation.Submit(simulation.Spec("b", {LargeLastingStep(9000)}), test_policy);
+  simulation.Run(Milliseconds(2000));
+  const std::vector<UpstreamId> hosts = HostsOf(simulation, first);
+  REQUIRE(hosts.size() == 2);
+  AwayTimes away({Key("c", 0, 0)});
+  for (int round = 0; round < 400; ++round) {
+    for (const UpstreamId& host : hosts) {
+      CHECK(simulation.holder->Release(host, simulation.now) == ReleaseState::kBusy);
+    }
+    if (round == 100) {
+      simulation.Submit(simulation.Spec("c", {LargeLastingStep(5000)}), test_policy);
+    }
+    if (round >= 100) away.Observe(simulation);
+    simulation.Run(Milliseconds(10));
+  }
+  CHECK(away.longest() <= kMoveLimit);
+  // With another upstream the released ones become empty.
+  simulation.AddUpstream();
+  simulation.AddUpstream();
+  std::set<UpstreamId> released;
+  for (int round = 0; round < 400; ++round) {
+    for (const UpstreamId& host : hosts) {
+      if (simulation.holder->Release(host, simulation.now) == ReleaseState::kReleased) {
+        released.insert(host);
+      }
+    }
+    simulation.Run(Milliseconds(10));
+  }
+  CHECK(released.size() == 2);
+  CHECK(simulation.violations.empty());
+}
+
 TEST_CASE("the need of a pool covers all lasting tasks that fit nowhere") {
   SchedulerSimulation simulation({.upstreams = 2});
   StepSpec lasting = LargeLastingStep(9000);
