Fill lasting tasks' need before peaks when spare instances are few

What callers saw: lasting tasks wait for room while another service's peak takes every instance that is free (LOST).

Cause: the pool that lacked most got all instances, then the next one. A pool that lacks two instances for its lasting tasks came after one that lacks twenty for a peak.

Change: two rounds, first up to what lasting tasks need, then up to the need.

Measured: the new test fails without the change (the two instances come after the peak's) and passes with it; maintenance_planner_test passes.

--- a/src/pool_sizing.cc
+++ b/src/pool_sizing.cc
@@ -31,7 +31,7 @@
                                 {"expected_millicores", expected_millicores},
                                 {"lasting_spread", demand.min_lasting_upstreams}});
   }
-  samples.push_back({.at = now, .need = need});
+  samples.push_back({.at = now, .need = need, .lasting_need = demand.min_lasting_upstreams});
 }
 
 std::optional<int> PoolSizing::NeedOf(const ServiceName& service, Milliseconds now) const {
@@ -51,6 +51,11 @@
   return found->second.back().need;
 }
 
+int PoolSizing::CurrentLastingNeedOf(const ServiceName& service) const {
+  const auto found = m_samples.find(service);
+  return found == m_samples.end() || found->second.empty() ? 0 : found->second.back().lasting_need;
+}
+
 std::vector<PoolMove> PoolSizing::Decide(const std::map<ServiceName, int>& instances,
                                          const ServiceName& spare, Milliseconds now) const {
   std::vector<PoolNeed> pools;
@@ -65,29 +70,34 @@
     pools.push_back({.service = service,
                      .instances = count,
                      .need = need.value_or(count),
-                     .current_need = CurrentNeedOf(service).value_or(count)});
+                     .current_need = CurrentNeedOf(service).value_or(count),
+                     .lasting_need = CurrentLastingNeedOf(service)});
   }
-  std::sort(pools.begin(), pools.end(), [](const PoolNeed& a, const PoolNeed& b) {
-    return a.current_need - a.instances > b.current_need - b.instances;
-  });
   std::vector<PoolMove> moves;
-  for (PoolNeed& receiver : pools) {
-    while (receiver.instances < receiver.current_need) {
-      const auto donor = std::find_if(pools.rbegin(), pools.rend(), [&](const PoolNeed& pool) {
-        return pool.instances > pool.current_need;
-      });
-      if (in_spare > 0) {
-        --in_spare;
-        moves.push_back({.from = spare, .to = receiver.service});
-      } else if (donor != pools.rend()) {
-        --donor->instances;
-        moves.push_back({.from = donor->service, .to = receiver.service});
-      } else {
-        return moves;
+  const auto fill = [&](int PoolNeed::*target) {
+    std::sort(pools.begin(), pools.end(), [&](const PoolNeed& a, const PoolNeed& b) {
+      return a.*target - a.instances > b.*target - b.instances;
+    });
+    for (PoolNeed& receiver : pools) {
+      while (receiver.instances < receiver.*target) {
+        const auto donor = std::find_if(pools.rbegin(), pools.rend(), [&](const PoolNeed& pool) {
+          return pool.instances > pool.current_need;
+        });
+        if (in_spare > 0) {
+          --in_spare;
+          moves.push_back({.from = spare, .to = receiver.service});
+        } else if (donor != pools.rend()) {
+          --donor->instances;
+          moves.push_back({.from = donor->service, .to = receiver.service});
+        } else {
+          return false;
+        }
+        ++receiver.instances;
       }
-      ++receiver.instances;
     }
-  }
+    return true;
+  };
+  if (!fill(&PoolNeed::lasting_need) || !fill(&PoolNeed::current_need)) return moves;
   if (!spare.valid()) return moves;
   for (PoolNeed& donor : pools) {
     while (donor.instances > donor.need + m_options.allowed_surplus) {
--- a/src/pool_sizing.h
+++ b/src/pool_sizing.h
@@ -30,6 +30,8 @@
   int need = 0;  ///< Highest recent need; any surplus goes to the spare pool.
   /// Need by the last report; pools that lack instances may take any surplus.
   int current_need = 0;
+  /// Part of `current_need` without which lasting tasks have no room.
+  int lasting_need = 0;
 };
 
 /// Move of one instance to another pool.
@@ -51,7 +53,8 @@
 
   /// @param instances instances of each pool, including those being moved to it.
   /// @param spare the pool of switched-off instances; an invalid name means there is none.
-  /// @returns moves that bring the pools closer to their need, most urgent first.
+  /// @returns moves that bring the pools closer to their need, most urgent first: room for lasting
+  /// tasks comes before capacity for peaks.
   std::vector<PoolMove> Decide(const std::map<ServiceName, int>& instances,
                                const ServiceName& spare, Milliseconds now) const;
 
@@ -63,9 +66,12 @@
   std::optional<int> CurrentNeedOf(const ServiceName& service) const;
 
  private:
+  int CurrentLastingNeedOf(const ServiceName& service) const;
+
   struct Sample {
     Milliseconds at{0};
     int need = 0;
+    int lasting_need = 0;
   };
 
   PoolSizingOptions m_options;
--- a/tests/pool_sizing_test.cc
+++ b/tests/pool_sizing_test.cc
@@ -63,5 +63,20 @@
   CHECK(sizing.Decide({{quick, 8}, {spare, 0}}, spare, Milliseconds(5000)).empty());
 }
 
+// Guards against a peak of one pool that takes all spare instances while lasting tasks of another
+// pool have no room.
+TEST_CASE("room for lasting tasks comes before capacity for a peak") {
+  PoolSizing sizing = Sizing();
+  ServiceDemand lasting = DemandOf(3);
+  lasting.min_lasting_upstreams = 5;
+  sizing.Observe(quick, DemandOf(20), 0, kInstanceMillicores, Milliseconds(1000));
+  sizing.Observe(slow, lasting, 0, kInstanceMillicores, Milliseconds(1000));
+  const auto moves = sizing.Decide({{quick, 4}, {slow, 3}, {spare, 3}}, spare, Milliseconds(1000));
+  REQUIRE(moves.size() == 3);
+  CHECK(moves[0] == PoolMove{.from = spare, .to = slow});
+  CHECK(moves[1] == PoolMove{.from = spare, .to = slow});
+  CHECK(moves[2] == PoolMove{.from = spare, .to = quick});
+}
+
 }  // namespace
 }  // namespace endivewood::testing
