Cancel moves out of a pool that has come to need its instances

Cause: a move was decided once and then carried out, up to 6 s later, whatever the pool needed by then. A released instance also took no work meanwhile. Class of fault: a decision that isn't checked again before it takes effect.

Change: before it decides on moves, the planner cancels those out of pools that have fewer instances than they need by the last report. It tells the scheduler, which may use the upstream again at once.

--- a/src/events.cc
+++ b/src/events.cc
@@ -116,6 +116,7 @@
       {Event::kPeakBegan, "peak-began", EventLevel::kInfo},
       {Event::kPeakEnded, "peak-ended", EventLevel::kInfo},
       {Event::kPoolSize, "pool-size", EventLevel::kInfo},
+      {Event::kMoveCancelled, "move-cancelled", EventLevel::kInfo},
   };
   return table;
 }
--- a/src/events.h
+++ b/src/events.h
@@ -138,6 +138,7 @@
   kPeakBegan = 905,
   kPeakEnded = 906,
   kPoolSize = 907,
+  kMoveCancelled = 908,
 };
 
 /// The name and level of an event.
--- a/src/job_scheduler.h
+++ b/src/job_scheduler.h
@@ -137,6 +137,9 @@
   /// and running tasks end or are moved. The planner repeats the call until the result is
   /// kReleased.
   ReleaseState Release(const UpstreamId& upstream, Milliseconds now);
+  /// Ends the reservation of an upstream's instance. The planner must not have ordered a move or
+  /// maintenance on the strength of it.
+  void CancelRelease(const UpstreamId& upstream, Milliseconds now);
 
   // Time.
 
--- a/src/job_scheduler_upstreams.cc
+++ b/src/job_scheduler_upstreams.cc
@@ -447,6 +447,14 @@
                                                         : ReleaseState::kBusy;
 }
 
+void JobScheduler::CancelRelease(const UpstreamId& upstream, Milliseconds now) {
+  m_release_holds.erase(upstream);
+  UpstreamSession* session = FindSession(upstream);
+  if (session == nullptr) return;
+  session->released_until = Milliseconds{0};
+  m_next_due = now;
+}
+
 void JobScheduler::MoveStalledTasks(UpstreamSession* session, Milliseconds now) {
   if (session->unanswered > 0) return;
   for (auto& [task, run] : session->hosted) {
--- a/src/maintenance_planner.cc
+++ b/src/maintenance_planner.cc
@@ -446,7 +446,37 @@
   return ordered;
 }
 
+void MaintenancePlanner::CancelMoves(Milliseconds now) {
+  std::map<ServiceName, int> sizes = PoolSizes();
+  for (auto it = m_pending_releases.begin(); it != m_pending_releases.end();) {
+    const auto machine = m_machines.find(it->first);
+    const PendingRelease& release = it->second;
+    if (release.wave || machine == m_machines.end() || !NeedsRelease(machine->second)) {
+      ++it;
+      continue;
+    }
+    const ServiceName& pool = machine->second.pool;
+    const auto need = m_sizing.CurrentNeedOf(pool);
+    if (!need || sizes[pool] >= *need) {
+      ++it;
+      continue;
+    }
+    LogEvent(Event::kMoveCancelled, {{"instance", it->first},
+                                     {"service", pool},
+                                     {"to", release.target},
+                                     {"instances", sizes[pool]},
+                                     {"need", *need},
+                                     {"age_ms", now - release.since}});
+    ++sizes[pool];
+    --sizes[release.target];
+    m_node_calls.emplace_back(
+        ReleaseCall{.service = pool, .upstream = machine->second.upstream, .cancelled = true});
+    it = m_pending_releases.erase(it);
+  }
+}
+
 void MaintenancePlanner::RunMoves(Milliseconds now) {
+  CancelMoves(now);
   const CatalogService* const spare = m_catalog.Spare();
   const ServiceName spare_name = spare == nullptr ? ServiceName() : spare->name;
   std::map<ServiceName, int> releases = CountReleases(ReleaseKind::kMove);
--- a/src/maintenance_planner.h
+++ b/src/maintenance_planner.h
@@ -102,6 +102,8 @@
   void RunWave(Wave* wave, Milliseconds now, const InstanceOrders& orders);
   int CountInstancesDown(const Wave& wave) const;
   void RunMoves(Milliseconds now);
+  /// Cancels moves out of pools that have come to lack instances.
+  void CancelMoves(Milliseconds now);
   void RunReleases(Milliseconds now, bool may_order, const InstanceOrders& orders);
   void IssueOrder(const InstanceName& instance, const PendingRelease& release, Milliseconds now);
   bool NeedsRelease(const MachineEntry& machine) const;
--- a/tests/maintenance_planner_test.cc
+++ b/tests/maintenance_planner_test.cc
@@ -46,6 +46,10 @@
     for (const NodeCall& call : planner->TakeNodeCalls()) {
       const auto* release = std::get_if<ReleaseCall>(&call);
       if (release == nullptr) continue;
+      if (release->cancelled) {
+        cancelled.insert(release->upstream);
+        continue;
+      }
       asked.insert(release->upstream);
       planner->OnRelease(release->upstream,
                          releases ? ReleaseState::kReleased : ReleaseState::kBusy, now);
@@ -61,6 +65,7 @@
   std::set<InstanceName> maintained;
   std::map<ServiceName, int> moved_to;  ///< Moves by target pool.
   std::set<UpstreamId> asked;           ///< Upstreams whose release was requested.
+  std::set<UpstreamId> cancelled;       ///< Upstreams whose release was cancelled.
   bool releases = true;
   bool may_order = true;
   InstanceOrders orders{Milliseconds(3000)};
@@ -277,6 +282,32 @@
   CHECK(fleet.moved_to[test_service] == kDark);
 }
 
+// Guards against moves out of a pool that go on although its lasting tasks need the instances.
+TEST_CASE("moves out of a pool are cancelled when the pool comes to need the instances") {
+  constexpr int kInstances = 10;
+  FakeFleet fleet(kInstances);
+  fleet.releases = false;
+  const ServiceName spare("spare");
+  MaintenancePlannerOptions options = Options();
+  options.move_instances = true;
+  MaintenancePlanner planner(options, {});
+  planner.SetCatalog(
+      {.version = 1, .services = {{.name = test_service}, {.name = spare, .spare = true}}});
+  while (fleet.now < Milliseconds(4000)) {
+    const bool needed = fleet.now > Milliseconds(2000);
+    ServiceDemand demand{.upstreams = kInstances, .min_lasting_upstreams = needed ? kInstances : 4};
+    for (const MachineEntry& machine : fleet.machines) {
+      demand.release_order.push_back({.upstream = machine.upstream, .left = Milliseconds(500)});
+    }
+    planner.OnDemand(test_service, demand, fleet.now);
+    if (fleet.now > Milliseconds(3000)) fleet.releases = true;
+    fleet.Tick(&planner);
+  }
+  CHECK(fleet.asked.size() == 5);
+  CHECK(fleet.cancelled == fleet.asked);
+  CHECK(fleet.moved_to.empty());
+}
+
 // Guards against two holders that order one instance within the platform's minimum gap, and against
 // a new holder that waits for instances which the previous one didn't order.
 TEST_CASE("only an instance that another holder ordered recently waits") {
