Don't count instances on their way to the spare pool as spare

What callers saw: lasting tasks wait for an instance that no one has asked for (LOST).

Cause: the planner decided on moves with the size that the spare pool will have and skipped a move when none of its instances had arrived. The pool that lacked one waited, though another pool could have given one. Class of fault: a promise counted as present.

Change: moves are decided with the spare instances that can be moved now.

Measured: the new test fails without the change (1 move of 2) and passes with it.

--- a/src/maintenance_planner.cc
+++ b/src/maintenance_planner.cc
@@ -481,7 +481,12 @@
   const ServiceName spare_name = spare == nullptr ? ServiceName() : spare->name;
   std::map<ServiceName, int> releases = CountReleases(ReleaseKind::kMove);
   std::map<ServiceName, std::deque<const MachineEntry*>> instances;
-  for (const PoolMove& move : m_sizing.Decide(PoolSizes(), spare_name, now)) {
+  std::map<ServiceName, int> sizes = PoolSizes();
+  if (spare != nullptr) {
+    // Instances that are still on their way to the spare pool can't be given to another one.
+    sizes[spare_name] = static_cast<int>(InstancesToMove(spare_name).size());
+  }
+  for (const PoolMove& move : m_sizing.Decide(sizes, spare_name, now)) {
     const auto [pool, added] = instances.try_emplace(move.from);
     if (added) pool->second = InstancesToMove(move.from);
     if (pool->second.empty()) continue;
--- a/tests/maintenance_planner_test.cc
+++ b/tests/maintenance_planner_test.cc
@@ -308,6 +308,31 @@
   CHECK(fleet.moved_to.empty());
 }
 
+// Guards against a pool that waits for an instance of the spare pool that hasn't arrived there,
+// while another pool could give one.
+TEST_CASE("instances on their way to the spare pool aren't counted as spare") {
+  FakeFleet fleet(8);
+  const ServiceName other("other");
+  const ServiceName spare("spare");
+  for (int i = 2; i < 6; ++i) fleet.machines[i].pool = other;
+  for (int i = 6; i < 8; ++i) {
+    fleet.machines[i].pool = spare;
+    fleet.machines[i].state = MachineState::kMoving;
+  }
+  MaintenancePlannerOptions options = Options();
+  options.move_instances = true;
+  MaintenancePlanner planner(options, {});
+  planner.SetCatalog(
+      {.version = 1,
+       .services = {{.name = test_service}, {.name = other}, {.name = spare, .spare = true}}});
+  while (fleet.now < Milliseconds(3000)) {
+    planner.OnDemand(test_service, {.upstreams = 2, .min_lasting_upstreams = 4}, fleet.now);
+    planner.OnDemand(other, {.upstreams = 4, .min_lasting_upstreams = 2}, fleet.now);
+    fleet.Tick(&planner);
+  }
+  CHECK(fleet.moved_to[test_service] == 2);
+}
+
 // Guards against two holders that order one instance within the platform's minimum gap, and against
 // a new holder that waits for instances which the previous one didn't order.
 TEST_CASE("only an instance that another holder ordered recently waits") {
