Don't count instances in maintenance as present

What callers saw: during a wave lasting tasks wait for room although the pool has as many instances as it needs on paper (LOST).

Cause: an instance being released for a wave wasn't counted, but it was again as soon as its maintenance had been ordered, for the 2 s and more until its next upstream could start tasks. Class of fault: a promise counted as present.

Change: instances in maintenance don't count until the list shows them as up.

--- a/src/maintenance_planner.cc
+++ b/src/maintenance_planner.cc
@@ -364,10 +364,14 @@
     if (machine.state == MachineState::kDown) continue;
     const auto release = m_pending_releases.find(name);
     const auto pending_order = m_pending_orders.find(name);
-    // Instances being released for maintenance don't count, so that they are replaced first:
-    // lasting tasks move only to an instance with free capacity for them.
+    // Instances that are in maintenance or being released for it don't count, so that they are
+    // replaced first: lasting tasks move only to an instance with free capacity for them.
     if (release != m_pending_releases.end() && release->second.wave && NeedsRelease(machine))
       continue;
+    const bool maintained =
+        machine.state == MachineState::kMaintenance ||
+        (pending_order != m_pending_orders.end() && pending_order->second.wave.has_value());
+    if (maintained) continue;
     // The list shows a machine as up although nothing answers there. Replacements are needed until
     // its scheduler can use it again.
     const bool lost = NeedsRelease(machine) && m_lost.count(machine.upstream) > 0;
--- a/tests/maintenance_planner_test.cc
+++ b/tests/maintenance_planner_test.cc
@@ -308,6 +308,27 @@
   CHECK(fleet.moved_to.empty());
 }
 
+// Guards against a pool that lacks room for lasting tasks while several of its instances are in
+// maintenance.
+TEST_CASE("a pool gets replacements for instances in maintenance") {
+  constexpr int kInstances = 6;
+  FakeFleet fleet(kInstances + 4);
+  const ServiceName spare("spare");
+  for (int i = kInstances; i < kInstances + 4; ++i) fleet.machines[i].pool = spare;
+  for (int i = 0; i < 3; ++i) fleet.machines[i].state = MachineState::kMaintenance;
+  MaintenancePlannerOptions options = Options();
+  options.move_instances = true;
+  MaintenancePlanner planner(options, {});
+  planner.SetCatalog(
+      {.version = 1, .services = {{.name = test_service}, {.name = spare, .spare = true}}});
+  while (fleet.now < Milliseconds(1000)) {
+    planner.OnDemand(test_service,
+                     {.upstreams = kInstances - 3, .min_lasting_upstreams = kInstances}, fleet.now);
+    fleet.Tick(&planner);
+  }
+  CHECK(fleet.moved_to[test_service] == 3);
+}
+
 // Guards against a pool that waits for an instance of the spare pool that hasn't arrived there,
 // while another pool could give one.
 TEST_CASE("instances on their way to the spare pool aren't counted as spare") {
