Shrink pools only after a whole window of reports

What callers saw: lasting tasks that are submitted at the start, or that move after a change of the planner, find no room for over 6 s.

Cause: a pool shrinks to its highest need of the last 4 s, but a new planner's window held one report. It switched instances off 0.1 s after it had begun, before lasting tasks had been placed. Class of fault: a maximum over a window that isn't full.

Change: a pool keeps its instances until the reports on it cover the window.

--- a/src/pool_sizing.cc
+++ b/src/pool_sizing.cc
@@ -19,6 +19,7 @@
                                    static_cast<double>(demand.cpu_lasting) + expected);
   const int by_load = static_cast<int>(std::ceil(required / std::max(1, instance_millicores)));
   const int need = std::max({by_load, demand.min_lasting_upstreams, m_options.min_instances});
+  m_first_report.try_emplace(service, now);
   std::vector<Sample>& samples = m_samples[service];
   std::erase_if(samples,
                 [&](const Sample& sample) { return sample.at + m_options.need_window < now; });
@@ -51,6 +52,11 @@
   return found->second.back().need;
 }
 
+bool PoolSizing::CoversWindow(const ServiceName& service, Milliseconds now) const {
+  const auto first = m_first_report.find(service);
+  return first != m_first_report.end() && first->second + m_options.need_window <= now;
+}
+
 int PoolSizing::CurrentLastingNeedOf(const ServiceName& service) const {
   const auto found = m_samples.find(service);
   return found == m_samples.end() || found->second.empty() ? 0 : found->second.back().lasting_need;
@@ -65,11 +71,13 @@
       in_spare = count;
       continue;
     }
-    const auto need = NeedOf(service, now);
-    // Without a recent report, the pool keeps its instances.
+    // Without a recent report, or before the reports cover the whole window, the pool keeps its
+    // instances.
+    int need = NeedOf(service, now).value_or(count);
+    if (!CoversWindow(service, now)) need = std::max(need, count);
     pools.push_back({.service = service,
                      .instances = count,
-                     .need = need.value_or(count),
+                     .need = need,
                      .current_need = CurrentNeedOf(service).value_or(count),
                      .lasting_need = CurrentLastingNeedOf(service)});
   }
--- a/src/pool_sizing.h
+++ b/src/pool_sizing.h
@@ -67,6 +67,8 @@
 
  private:
   int CurrentLastingNeedOf(const ServiceName& service) const;
+  /// @returns whether there have been reports for the whole `need_window`.
+  bool CoversWindow(const ServiceName& service, Milliseconds now) const;
 
   struct Sample {
     Milliseconds at{0};
@@ -76,6 +78,7 @@
 
   PoolSizingOptions m_options;
   std::map<ServiceName, std::vector<Sample>> m_samples;  ///< Within `need_window`.
+  std::map<ServiceName, Milliseconds> m_first_report;
 };
 
 }  // namespace endivewood
--- a/tests/pool_sizing_test.cc
+++ b/tests/pool_sizing_test.cc
@@ -78,5 +78,16 @@
   CHECK(moves[2] == PoolMove{.from = spare, .to = quick});
 }
 
+// Guards against a new planner that switches off instances by its first report, before it knows
+// what the pool needed in the last seconds.
+TEST_CASE("a pool doesn't shrink before its reports cover the window") {
+  PoolSizing sizing = Sizing();
+  sizing.Observe(quick, DemandOf(2), 0, kInstanceMillicores, Milliseconds(1000));
+  CHECK(sizing.Decide({{quick, 8}, {spare, 0}}, spare, Milliseconds(1000)).empty());
+  sizing.Observe(quick, DemandOf(2), 0, kInstanceMillicores, Milliseconds(4900));
+  CHECK(sizing.Decide({{quick, 8}, {spare, 0}}, spare, Milliseconds(4900)).empty());
+  CHECK(sizing.Decide({{quick, 8}, {spare, 0}}, spare, Milliseconds(5000)).size() == 5);
+}
+
 }  // namespace
 }  // namespace endivewood::testing
