Don't end simulated runs by a reference into their map

Cause: FakeUpstream::Advance passed the first key of the running tasks to End, which erases it and uses it afterwards. A review's scratch test crashed there.

Change: the keys of lapsed runs are collected first.

--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -69,7 +69,9 @@
   /// Ends tasks whose duration is over, and all tasks when the lease has lapsed.
   void Advance(Milliseconds now) {
     if (!running.empty() && ClockAt(now) > m_lease_until) {
-      while (!running.empty()) End(running.begin()->first, RunEnd::kLapsed);
+      std::vector<TaskKey> lapsed;
+      for (const auto& [task, run] : running) lapsed.push_back(task);
+      for (const TaskKey& task : lapsed) End(task, RunEnd::kLapsed);
     }
     std::vector<TaskKey> finished;
     std::vector<TaskKey> stopped;
