Let the reservation of a cancelled move end by itself

What callers could see: work killed with its instance (AVAIL, lost work).

Cause: told the scheduler that a release was cancelled, without a number. An answer to an earlier request could count for a new release of the same instance by a wave, or a late cancel end a newer release: the scheduler then used the instance while the planner could order its maintenance. Class of fault: messages that don't say which decision they belong to.

Evidence: a review's scratch tests of both halves: three maintenance orders after the reservation had been dropped; a task started within 30 ms of a cancel, inside the 300 ms in which the planner relies on the answer.

Change: the planner forgets the move and the scheduler's reservation ends after at most 3 s, as before; only lasting tasks without other room run there meanwhile. For 3 s no other move out of that pool begins, so that the need and its cancelled moves don't alternate.

Test: the case of cancelled moves checks that no release is requested any more and no instance moves; there is no cancel message left to check.

--- a/src/config.h
+++ b/src/config.h
@@ -348,10 +348,14 @@
 /// can't be, is logged again.
 inline constexpr std::int64_t kWaitReportMs = 1000;
 
-/// Milliseconds until an upstream that is added to a pool can start tasks: the move takes 1.5 s, its
-/// registration and first run list up to a second.
+/// Milliseconds until an upstream that is added to a pool can start tasks: the move takes 1.5 s,
+/// its registration and first run list up to a second.
 inline constexpr std::int64_t kAddUpstreamMs = 2500;
 
+/// Milliseconds for which a step that can get no room on any upstream isn't checked again. Room
+/// that is free already is found at once.
+inline constexpr std::int64_t kNoRoomRetryMs = 200;
+
 /// Milliseconds after which the upstream that keeps room for a lasting task is chosen again: the
 /// tasks that occupy it may take longer than estimated.
 inline constexpr std::int64_t kHoldReviewMs = 1000;
@@ -480,6 +484,10 @@
 /// ordered.
 inline constexpr std::int64_t kWaveReserveMs = 4000;
 
+/// Milliseconds without moves out of a pool after one was cancelled because the pool needs its
+/// instances: the hold of the cancelled release lasts as long.
+inline constexpr std::int64_t kMoveBackoffMs = kReleaseHoldMs;
+
 /// Milliseconds after which a move is cancelled because its instance has not been released.
 inline constexpr std::int64_t kMoveTimeoutMs = 6000;
 
--- a/src/job_node_calls.cc
+++ b/src/job_node_calls.cc
@@ -198,11 +198,7 @@
   } else if (const auto* demand = std::get_if<DemandCall>(&call)) {
     scheduler.SetPlannedCapacity(demand->service, demand->planned_millicores, now);
     reply.demand = scheduler.Demand(demand->service, now);
-  } else if (const auto* release = std::get_if<ReleaseCall>(&call); release && release->cancelled) {
-    scheduler.CancelRelease(release->upstream, now);
-    reply.release = ReleaseState::kBusy;
-    ScheduleTick(Milliseconds{0});
-  } else if (release != nullptr) {
+  } else if (const auto* release = std::get_if<ReleaseCall>(&call)) {
     // A release is kept in memory only, so a holder that is about to be replaced doesn't grant one.
     if (RightsAt(now).move) {
       reply.release = scheduler.Release(release->upstream, now);
--- a/src/maintenance_planner.cc
+++ b/src/maintenance_planner.cc
@@ -473,8 +473,9 @@
                                      {"age_ms", now - release.since}});
     ++sizes[pool];
     --sizes[release.target];
-    m_node_calls.emplace_back(
-        ReleaseCall{.service = pool, .upstream = machine->second.upstream, .cancelled = true});
+    m_moves_resume_at[pool] = now + Milliseconds(config::kMoveBackoffMs);
+    // The scheduler's reservation ends by itself. Until then a late answer to an earlier request
+    // still holds for a wave that picks the same instance.
     it = m_pending_releases.erase(it);
   }
 }
@@ -494,6 +495,7 @@
     const auto [pool, added] = instances.try_emplace(move.from);
     if (added) pool->second = InstancesToMove(move.from);
     if (pool->second.empty()) continue;
+    if (m_moves_resume_at[move.from] > now) continue;
     const MachineEntry& chosen = *pool->second.front();
     const bool needs_release = NeedsRelease(chosen);
     const int limit = ReleaseLimitOf(move.from, config::kMinMovesPerService);
--- a/src/maintenance_planner.h
+++ b/src/maintenance_planner.h
@@ -141,6 +141,7 @@
   DemandForecast m_forecast;
   bool m_capacity_known = false;
   std::map<ServiceName, std::vector<ReleaseTime>> m_release_order;  ///< Shortest first.
+  std::map<ServiceName, Milliseconds> m_moves_resume_at;            ///< After a cancelled move.
   /// Upstreams that a scheduler has reported as lost and not as usable since.
   std::set<UpstreamId> m_lost;
   /// Last logged numbers of each pool, see Event::kPoolSize.
--- a/src/node_calls.h
+++ b/src/node_calls.h
@@ -45,7 +45,6 @@
 struct ReleaseCall {
   ServiceName service;
   UpstreamId upstream;
-  bool cancelled = false;  ///< The instance isn't needed any more and can run tasks again.
 };
 
 /// Sent by an instance that can't reach the store, to learn from a peer who holds which partition.
