Reject odd values of other writers when they are decoded

Callers saw: nothing yet; operators of similar systems lost the machines that follow the list of executors to one odd entry.

--- a/src/config.h
+++ b/src/config.h
@@ -400,6 +400,20 @@
 /// objective.
 inline constexpr double kMaxUsefulLateness = 3.0;
 
+/// Limits of a job and of what upstreams say of themselves, far above any real one. They keep sums
+/// of resources and of work within their types, and one job from using up an instance's memory.
+inline constexpr std::int64_t kMaxResource = 10000000;  ///< Millicores, MB or GPUs.
+inline constexpr std::int64_t kMaxJobDurationMs = 24LL * 3600 * 1000;
+inline constexpr std::int64_t kMaxUnixMs = 4102444800000;  ///< Unix milliseconds of the year 2100.
+inline constexpr std::size_t kMaxStepsPerJob = 1000;
+inline constexpr std::int64_t kMaxTasksPerJob = 10000;  ///< Of one occurrence.
+inline constexpr std::int64_t kMaxTasksOfAllOccurrences = 50000;
+inline constexpr int kMaxOccurrencesPerJob = 1000;
+
+/// Core-milliseconds above which the work of one job isn't distinguished: more than any fleet does
+/// in a day.
+inline constexpr double kMaxJobWork = 1e15;
+
 /// Milliseconds for which the result of a job is kept. The platform requires 120 s.
 inline constexpr std::int64_t kJobResultRetentionMs = 125000;
 
--- a/src/job.cc
+++ b/src/job.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "config.h"
+
 namespace endivewood {
 
 Job::Job(JobRecord record, Milliseconds arrived) : m_record(std::move(record)), m_arrived(arrived) {
@@ -114,7 +116,7 @@
       work += left * step_spec.cpu_millicores * step_spec.estimate.count() / 1000;
     }
   }
-  return work;
+  return std::min(work, static_cast<std::int64_t>(config::kMaxJobWork));
 }
 
 Milliseconds Job::OnTimeDeadlineOf(const Occurrence& occurrence) const {
--- a/src/job_codec.cc
+++ b/src/job_codec.cc
@@ -58,7 +58,12 @@
   if (record.key.starts_with(kProgressPrefix)) return DecodeAs<JobProgress>(record.value);
   if (record.key.starts_with(kUpstreamPrefix)) return DecodeAs<UpstreamRecord>(record.value);
   if (!record.key.starts_with(kJobPrefix)) return std::monostate{};
-  if (record.value.front() == kOpenJobTag) return DecodeAs<JobRecord>(record.value.substr(1));
+  if (record.value.front() == kOpenJobTag) {
+    JobStoreRecord decoded = DecodeAs<JobRecord>(record.value.substr(1));
+    const auto* const job = std::get_if<JobRecord>(&decoded);
+    if (job != nullptr && !IsWithinLimits(job->spec)) return std::monostate{};
+    return decoded;
+  }
   if (record.value.front() == kJobResultTag) return DecodeAs<JobResult>(record.value.substr(1));
   return std::monostate{};
 }
--- a/src/job_node.cc
+++ b/src/job_node.cc
@@ -7,6 +7,7 @@
 #include "config.h"
 #include "endivewood_p.h"
 #include "events.h"
+#include "settings.h"
 
 namespace endivewood {
 namespace {
@@ -30,13 +31,8 @@
 
 std::optional<Endpoint> EndpointOfMember(const std::string& member) {
   const std::size_t slash = member.find('/');
-  const std::size_t colon = member.find(':');
-  if (slash == std::string::npos || colon == std::string::npos || colon > slash) {
-    return std::nullopt;
-  }
-  const int port = std::atoi(member.substr(colon + 1, slash - colon - 1).c_str());
-  if (port <= 0 || port > 65535) return std::nullopt;
-  return Endpoint{.address = member.substr(0, colon), .port = static_cast<std::uint16_t>(port)};
+  if (slash == std::string::npos) return std::nullopt;
+  return ParseEndpoint(member.substr(0, slash));
 }
 
 }  // namespace
--- a/src/jobs.cc
+++ b/src/jobs.cc
@@ -2,8 +2,11 @@
 /// Conversion of task keys and order outcomes to and from text.
 #include "jobs.h"
 
+#include <algorithm>
 #include <charconv>
 
+#include "config.h"
+
 namespace endivewood {
 namespace {
 
@@ -25,6 +28,35 @@
          std::to_string(index);
 }
 
+bool IsWithinLimits(const JobSpec& spec) {
+  if (spec.steps.empty() || spec.steps.size() > config::kMaxStepsPerJob) return false;
+  if (spec.occurrences < 0 || spec.occurrences > config::kMaxOccurrencesPerJob) return false;
+  const auto is_time = [](Milliseconds value) {
+    return value.count() >= 0 && value.count() <= config::kMaxUnixMs;
+  };
+  const auto is_duration = [](Milliseconds value) {
+    return value.count() >= 0 && value.count() <= config::kMaxJobDurationMs;
+  };
+  const auto is_resource = [](int value) { return value >= 0 && value <= config::kMaxResource; };
+  if (!is_time(spec.first_due) || !is_duration(spec.interval)) return false;
+  std::int64_t tasks = 0;
+  for (int position = 0; position < static_cast<int>(spec.steps.size()); ++position) {
+    const StepSpec& step = spec.steps[position];
+    if (step.count < 1) return false;
+    tasks += step.count;
+    if (tasks > config::kMaxTasksPerJob) return false;
+    if (!is_resource(step.cpu_millicores) || !is_resource(step.memory_mb)) return false;
+    if (!is_resource(step.gpus) || !is_duration(step.estimate)) return false;
+    if (!is_duration(step.target_latency)) return false;
+    if (step.max_per_upstream < 0 || step.max_unavailable < 0) return false;
+    const bool ordered = std::all_of(step.depends.begin(), step.depends.end(), [&](int dependency) {
+      return dependency >= 0 && dependency < position;
+    });
+    if (!ordered) return false;
+  }
+  return tasks * std::max(1, spec.occurrences) <= config::kMaxTasksOfAllOccurrences;
+}
+
 std::optional<TaskKey> TaskKey::Parse(const std::string& text) {
   TaskKey key;
   std::string_view rest = text;
--- a/src/jobs.h
+++ b/src/jobs.h
@@ -56,6 +56,10 @@
   bool operator==(const JobSpec&) const = default;
 };
 
+/// @returns whether a job's values are within the limits of config.h and its steps depend on earlier
+/// ones only. A job that isn't must not be scheduled, whoever sent or stored it.
+bool IsWithinLimits(const JobSpec& spec);
+
 /// Timing of the tickets that a task needs before it may start on an upstream.
 struct TicketPolicy {
   Milliseconds base_time{0};  ///< Fixed part of the response time.
--- a/src/json.cc
+++ b/src/json.cc
@@ -74,6 +74,29 @@
   return text;
 }
 
+/// Levels of nesting up to which a text is decoded: the deserializer recurses, and a text from
+/// another program must not exhaust the stack. Our own messages have fewer than ten levels.
+constexpr int kMaxNesting = 64;
+
+bool IsNestedTooDeeply(const std::string& text) {
+  int depth = 0;
+  bool in_string = false;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const char character = text[i];
+    if (in_string) {
+      if (character == '\\') ++i;
+      if (character == '"') in_string = false;
+    } else if (character == '"') {
+      in_string = true;
+    } else if (character == '[' || character == '{') {
+      if (++depth > kMaxNesting) return true;
+    } else if (character == ']' || character == '}') {
+      --depth;
+    }
+  }
+  return false;
+}
+
 }  // namespace
 
 JsonValue::JsonValue(Object members) : m_data(std::make_shared<const Object>(std::move(members))) {}
@@ -113,6 +136,7 @@
 }
 
 std::optional<JsonValue> DecodeJson(const std::string& text) {
+  if (IsNestedTooDeeply(text)) return std::nullopt;
   try {
     std::istringstream in(text);
     cxxtools::JsonDeserializer deserializer(in);
