Survive unexpected errors, and don't act on outdated rights or lists

Three faults, in one commit because they meet in the same functions of JobNode: - An exception in any callback crossed libevent and ended the process. It is caught and logged now (callback-failed); the term that it concerned ends and is loaded again; a request whose handler failed gets 504, since it may have run. - A holder that was paused between placing tasks and sending their starts sent them after it woke; a call that waited for a free connection was sent however late; so were orders for machines. Rights are checked when an order is sent, and a call isn't sent after its timeout by a clock that counts suspended time. - An instance that received a partition again used its old list of upstreams until the registry was read: it could start work on one that drains.

Also: registry entries are decoded when they change, not all of them each 300 ms, and one that names no upstream is logged once.

--- a/daemons/endivewood_node.cc
+++ b/daemons/endivewood_node.cc
@@ -37,7 +37,7 @@
     LogEvent(Event::kProcessStarted, {{"version", kVersion},
                                       {"callers", m_settings.callers},
                                       {"peers_port", m_settings.first_port}});
-    m_adapter.emplace(&m_loop, m_settings);
+    m_adapter.emplace(&m_loop, &m_clock, m_settings);
     m_node.emplace(&m_loop, &m_clock, platform::NodeOptionsOf(m_settings), m_adapter->Callbacks());
     m_entry.emplace(&m_loop, m_settings, &*m_node);
     m_node->Start();
--- a/src/async_http.cc
+++ b/src/async_http.cc
@@ -14,6 +14,7 @@
 #include <utility>
 
 #include "config.h"
+#include "guarded.h"
 #include "socket_options.h"
 
 namespace endivewood {
@@ -77,6 +78,7 @@
   HttpRequest request;
   Callback callback;
   Milliseconds timeout{0};
+  Milliseconds called_at{0};  ///< By AsyncHttpClientOptions::clock.
   EventLoop::TimerId timer = 0;
   int timeouts = 0;          ///< Expired timeouts, including those after which it went on.
   std::size_t unsent = 0;    ///< Bytes of the request in the output buffer at the last timeout.
@@ -118,6 +120,7 @@
   pending->request = std::move(request);
   pending->callback = std::move(callback);
   pending->timeout = timeout;
+  if (m_options.clock != nullptr) pending->called_at = m_options.clock->Now();
   Pending* const raw = pending.get();
   pending->timer = m_loop->After(timeout, [this, target, raw] { Expire(target, raw); });
   target->waiting.push_back(std::move(pending));
@@ -146,6 +149,18 @@
       {.reply = std::nullopt, .failure = CallFailure::kNotSent, .detail = "no connection free"});
 }
 
+bool AsyncHttpClient::IsOverdue(const Pending& pending) const {
+  return m_options.clock != nullptr && m_options.clock->Now() > pending.called_at + pending.timeout;
+}
+
+void AsyncHttpClient::FailUnsent(std::unique_ptr<Pending> pending, const char* detail) {
+  if (pending->timer != 0) m_loop->Cancel(pending->timer);
+  // From the loop, because the callback may start new calls.
+  m_loop->After(Milliseconds{0}, [failed = std::shared_ptr<Pending>(std::move(pending)), detail] {
+    failed->callback({.reply = std::nullopt, .failure = CallFailure::kNotSent, .detail = detail});
+  });
+}
+
 /// @returns whether part of the request has left, or part of the answer has arrived, since the last
 /// timeout. A repeated call would transfer the same bytes again.
 bool AsyncHttpClient::MakesProgress(Connection* connection) {
@@ -181,6 +196,10 @@
     }
     std::unique_ptr<Pending> next = std::move(peer->waiting.front());
     peer->waiting.pop_front();
+    if (IsOverdue(*next)) {
+      FailUnsent(std::move(next), "sent too late");
+      continue;
+    }
     Send(peer, idle, std::move(next));
   }
 }
@@ -240,8 +259,10 @@
                   .headers = CopyHeaders(evhttp_request_get_input_headers(request)),
                   .body = TakeBody(evhttp_request_get_input_buffer(request))};
   connection->client->m_traffic.received += SizeOf(0, reply.headers, reply.body);
-  connection->client->Finish(
-      connection, {.reply = std::move(reply), .failure = CallFailure::kNoAnswer, .detail = ""});
+  RunGuarded("http-reply", [&] {
+    connection->client->Finish(
+        connection, {.reply = std::move(reply), .failure = CallFailure::kNoAnswer, .detail = ""});
+  });
 }
 
 void AsyncHttpClient::Finish(Connection* connection, HttpOutcome outcome) {
@@ -320,13 +341,18 @@
                       .query = query == nullptr ? "" : query,
                       .headers = CopyHeaders(evhttp_request_get_input_headers(request)),
                       .body = TakeBody(evhttp_request_get_input_buffer(request))};
-  listener->m_handler(std::move(message), [listener, exchange, watched](const HttpReply& reply) {
+  const auto respond = [listener, exchange, watched](const HttpReply& reply) {
     if (exchange->request == nullptr) return;
     evhttp_connection_set_closecb(evhttp_request_get_connection(exchange->request), nullptr,
                                   nullptr);
     delete watched;
     listener->Answer(exchange, reply);
-  });
+  };
+  const bool handled =
+      RunGuarded("http-request", [&] { listener->m_handler(std::move(message), respond); });
+  // The handler may have acted before it failed, so the answer must not say that it hasn't.
+  constexpr int kOutcomeUnknown = 504;
+  if (!handled) respond({.status = kOutcomeUnknown, .headers = {}, .body = "{}"});
 }
 
 void AsyncHttpListener::Answer(const std::shared_ptr<Exchange>& exchange, const HttpReply& reply) {
--- a/src/async_http.h
+++ b/src/async_http.h
@@ -27,6 +27,9 @@
   std::size_t max_connections = 4;
   /// Time after which an idle connection is closed.
   Milliseconds idle_timeout{30000};
+  /// Counts suspended time, unlike the loop's timers. With it, a call that waits for a connection
+  /// isn't sent after its timeout, even if the process was paused meanwhile.
+  const Clock* clock = nullptr;
 };
 
 /// HTTP client that keeps connections to its peers open and reuses them.
@@ -55,6 +58,8 @@
   struct Peer;
 
   void Expire(Peer* peer, Pending* pending);
+  bool IsOverdue(const Pending& pending) const;
+  void FailUnsent(std::unique_ptr<Pending> pending, const char* detail);
   static bool MakesProgress(Connection* connection);
   void Dispatch(Peer* peer);
   void Send(Peer* peer, Connection* connection, std::unique_ptr<Pending> pending);
--- a/src/event_loop.cc
+++ b/src/event_loop.cc
@@ -6,6 +6,8 @@
 
 #include <stdexcept>
 
+#include "guarded.h"
+
 namespace endivewood {
 
 struct EventLoop::Timer {
@@ -45,7 +47,7 @@
   // Keeps the timer alive while its callback runs.
   const std::unique_ptr<Timer> owned_timer = std::move(found->second);
   loop->m_timers.erase(found);
-  owned_timer->callback();
+  RunGuarded("timer", owned_timer->callback);
 }
 
 EventLoop::TimerId EventLoop::After(Milliseconds delay, std::function<void()> callback) {
@@ -64,7 +66,9 @@
 
 void EventLoop::Cancel(TimerId id) { m_timers.erase(id); }
 
-void EventLoop::Deliver(int, short, void* signal) { static_cast<Signal*>(signal)->callback(); }
+void EventLoop::Deliver(int, short, void* signal) {
+  RunGuarded("signal", static_cast<Signal*>(signal)->callback);
+}
 
 void EventLoop::OnSignal(int number, std::function<void()> callback) {
   auto signal = std::make_unique<Signal>();
--- a/src/event_loop.h
+++ b/src/event_loop.h
@@ -13,6 +13,7 @@
 
 namespace endivewood {
 
+/// An exception of a callback is logged and doesn't end the loop.
 /// Not thread-safe: a loop and everything that runs on it belong to one thread.
 class EventLoop {
  public:
--- a/src/events.cc
+++ b/src/events.cc
@@ -108,6 +108,7 @@
       {Event::kProcessDelayed, "process-delayed", EventLevel::kWarning},
       {Event::kLinkBusy, "link-busy", EventLevel::kWarning},
       {Event::kRequestUnroutable, "request-unroutable", EventLevel::kInfo},
+      {Event::kCallbackFailed, "callback-failed", EventLevel::kError},
       {Event::kMaintenanceOrdered, "maintenance-ordered", EventLevel::kInfo},
       {Event::kMoveOrdered, "move-ordered", EventLevel::kInfo},
       {Event::kMachineOrderFailed, "machine-order-failed", EventLevel::kWarning},
--- a/src/events.h
+++ b/src/events.h
@@ -129,6 +129,7 @@
   kProcessDelayed = 813,
   kLinkBusy = 814,
   kRequestUnroutable = 815,
+  kCallbackFailed = 816,
   // Machines of the platform.
   kMaintenanceOrdered = 900,
   kMoveOrdered = 901,
--- a/src/job_node.cc
+++ b/src/job_node.cc
@@ -7,6 +7,7 @@
 #include "config.h"
 #include "endivewood_p.h"
 #include "events.h"
+#include "guarded.h"
 #include "settings.h"
 
 namespace endivewood {
@@ -128,7 +129,8 @@
   m_tick_at = at;
   m_tick_timer = m_loop->After(delay, [this] {
     m_tick_timer = 0;
-    Tick();
+    const bool done = RunGuarded("tick", [this] { Tick(); });
+    if (!done) ScheduleTick(Milliseconds(config::kRenewRetryMs));
   });
 }
 
@@ -287,7 +289,7 @@
         .max_unanswered_bytes = StartWindowBytes(m_options.capacity),
         .member = m_membership.options().member,
         .min_holder_gap = m_options.min_holder_gap};
-    if (m_terms.empty()) m_registry.Reload();
+    if (m_terms.empty()) m_registry.Restart();
     m_terms.emplace(partition, std::make_shared<PartitionTerm>(options, now));
   }
 }
@@ -378,7 +380,11 @@
 
 void JobNode::RunTerms(Milliseconds now) {
   const WorkTimes::Scope scope(&m_work, m_clock, WorkPart::kScheduling);
-  for (auto& [partition, term] : std::map(m_terms)) RunTerm(term.get(), now);
+  for (auto& [partition, term] : std::map(m_terms)) {
+    const bool done = RunGuarded("term", [&] { RunTerm(term.get(), now); });
+    // What the scheduler holds may be incomplete now; the next term loads what is stored.
+    if (!done) term->End("unexpected error");
+  }
 }
 
 void JobNode::RunTerm(PartitionTerm* raw, Milliseconds now) {
@@ -387,7 +393,7 @@
     RunHandover(term, now);
     JobScheduler& scheduler = term->scheduler();
     if (scheduler.NextDue(now) <= now) scheduler.Run(now, UnixOffset(), RightsAt(now));
-    SendOrders(term, now);
+    SendOrders(term);
     if (scheduler.fenced_out()) term->End("an upstream has seen a newer fencing token");
   }
   const auto call = term->TakeCall(now);
@@ -426,39 +432,59 @@
   term->ApplyHandover(now);
 }
 
-void JobNode::SendOrders(const std::shared_ptr<PartitionTerm>& term, Milliseconds) {
+/// Checked right before an order is sent: the process may have been paused since it was decided.
+bool JobNode::MaySend(const UpstreamOrder& order) const {
+  const HolderRights rights = RightsAt(m_clock->Now());
+  if (std::holds_alternative<StartOrder>(order)) return rights.start;
+  const auto* const renew = std::get_if<RenewOrder>(&order);
+  return renew == nullptr || !renew->lease_until || rights.extend;
+}
+
+void JobNode::SendOrders(const std::shared_ptr<PartitionTerm>& term) {
   JobScheduler& scheduler = term->scheduler();
-  const std::uint64_t token = term->options().epoch;
   for (const UpstreamOrder& order : scheduler.TakeOrders()) {
     const UpstreamId id = std::visit([](const auto& each) { return each.upstream; }, order);
     const auto endpoint = scheduler.EndpointOf(id);
-    if (!endpoint) continue;
-    if (const auto* renew = std::get_if<RenewOrder>(&order)) {
-      const Milliseconds timeout = renew->wait + Milliseconds(config::kRenewTimeoutMs);
-      m_callbacks.send_renew(
-          *endpoint, token, *renew, timeout, [this, term, sent = *renew](const RenewReply& reply) {
-            const WorkTimes::Scope scope(&m_work, m_clock, WorkPart::kUpstreamReplies);
-            term->scheduler().OnRenewed(sent, reply, m_clock->Now());
-            ScheduleTick(Milliseconds(config::kNodeTickDelayMs));
-          });
-      continue;
+    if (endpoint) SendOrder(term, *endpoint, order);
+  }
+}
+
+void JobNode::SendOrder(const std::shared_ptr<PartitionTerm>& term, const Endpoint& endpoint,
+                        const UpstreamOrder& order) {
+  const std::uint64_t token = term->options().epoch;
+  const bool may_send = MaySend(order);
+  if (const auto* renew = std::get_if<RenewOrder>(&order)) {
+    const auto on_reply = [this, term, sent = *renew](const RenewReply& reply) {
+      const WorkTimes::Scope scope(&m_work, m_clock, WorkPart::kUpstreamReplies);
+      term->scheduler().OnRenewed(sent, reply, m_clock->Now());
+      ScheduleTick(Milliseconds(config::kNodeTickDelayMs));
+    };
+    if (!may_send) {
+      on_reply({.outcome = OrderOutcome::kNotSent});
+      return;
+    }
+    const Milliseconds timeout = renew->wait + Milliseconds(config::kRenewTimeoutMs);
+    m_callbacks.send_renew(endpoint, token, *renew, timeout, on_reply);
+    return;
+  }
+  const auto on_reply = [this, term, order](const OrderReply& reply) {
+    const WorkTimes::Scope scope(&m_work, m_clock, WorkPart::kUpstreamReplies);
+    const Milliseconds now = m_clock->Now();
+    JobScheduler& target = term->scheduler();
+    if (const auto* start = std::get_if<StartOrder>(&order)) {
+      target.OnStarted(*start, reply, now);
+    } else if (const auto* stop = std::get_if<StopOrder>(&order)) {
+      target.OnStopped(*stop, reply, now);
+    } else if (const auto* pace = std::get_if<PaceOrder>(&order)) {
+      target.OnPaced(*pace, reply, now);
     }
-    m_callbacks.send_order(*endpoint, token, order, Milliseconds(config::kOrderTimeoutMs),
-                           [this, term, order](const OrderReply& reply) {
-                             const WorkTimes::Scope scope(&m_work, m_clock,
-                                                          WorkPart::kUpstreamReplies);
-                             const Milliseconds now = m_clock->Now();
-                             JobScheduler& target = term->scheduler();
-                             if (const auto* start = std::get_if<StartOrder>(&order)) {
-                               target.OnStarted(*start, reply, now);
-                             } else if (const auto* stop = std::get_if<StopOrder>(&order)) {
-                               target.OnStopped(*stop, reply, now);
-                             } else if (const auto* pace = std::get_if<PaceOrder>(&order)) {
-                               target.OnPaced(*pace, reply, now);
-                             }
-                             ScheduleTick(Milliseconds(config::kNodeTickDelayMs));
-                           });
+    ScheduleTick(Milliseconds(config::kNodeTickDelayMs));
+  };
+  if (!may_send) {
+    on_reply({.outcome = OrderOutcome::kNotSent});
+    return;
   }
+  m_callbacks.send_order(endpoint, token, order, Milliseconds(config::kOrderTimeoutMs), on_reply);
 }
 
 void JobNode::ApplyOperatorRecords() {
@@ -489,11 +515,16 @@
 }
 
 void JobNode::ApplyRegistry() {
-  m_upstreams.clear();
-  for (const auto& [key, value] : m_registry.records()) {
-    auto entry = m_callbacks.decode_upstream(key, value);
-    if (!entry) continue;
-    m_upstreams.emplace(entry->id, std::move(*entry));
+  const std::map<std::string, std::string>& records = m_registry.records();
+  std::erase_if(m_registry_entries,
+                [&](const auto& entry) { return records.count(entry.first) == 0; });
+  for (const auto& [key, value] : records) {
+    const auto [position, added] = m_registry_entries.try_emplace(key);
+    RegistryEntry& entry = position->second;
+    if (!added && entry.record == value) continue;
+    entry.record = value;
+    entry.upstream = m_callbacks.decode_upstream(key, value);
+    if (!entry.upstream) LogEvent(Event::kMalformedRecord, {{"key", key}, {"cause", "registry"}});
   }
   for (auto& [partition, term] : m_terms) {
     if (term->active()) UpdateUpstreams(term.get(), m_clock->Now());
@@ -504,8 +535,9 @@
   if (!m_registry.loaded() || !m_catalog) return;
   const std::set<ServiceName> services = ServicesOf(term->options().partition.number);
   std::vector<UpstreamEntry> entries;
-  for (const auto& [id, entry] : m_upstreams) {
-    if (services.count(entry.service) > 0) entries.push_back(entry);
+  for (const auto& [key, entry] : m_registry_entries) {
+    if (!entry.upstream || services.count(entry.upstream->service) == 0) continue;
+    entries.push_back(*entry.upstream);
   }
   term->scheduler().SetUpstreams(entries, now);
 }
@@ -525,24 +557,33 @@
   }
   const bool may_order = m_membership.IsConfirmed(now) && term->second->handover().settled(now);
   if (m_planner->NextDue() <= now) m_planner->Run(now, may_order, m_instance_orders);
-  SendPlannerCalls(now);
+  SendPlannerCalls();
 }
 
-void JobNode::SendPlannerCalls(Milliseconds) {
+void JobNode::SendMachineCall(const MachineCall& call) {
+  const auto term = m_terms.at(kPlannerPartition);
+  const auto on_reply = [this, call, term](const MachineReply& reply) {
+    const WorkTimes::Scope scope(&m_work, m_clock, WorkPart::kPlanning);
+    if (!m_planner || !term->active()) return;
+    m_planner->OnMachines(call, reply, m_clock->Now());
+    ScheduleTick(Milliseconds{0});
+  };
+  const auto instance = InstanceOf(call);
+  // Checked right before the order is sent: the process may have been paused since it was decided.
+  if (instance && !m_membership.IsConfirmed(m_clock->Now())) {
+    on_reply({.status = MachineStatus::kRefused});
+    return;
+  }
+  if (instance) m_instance_orders.Record(*instance, m_clock->Now());
+  m_callbacks.call_machines(call, Milliseconds(config::kStoreTimeoutMs), on_reply);
+}
+
+void JobNode::SendPlannerCalls() {
   const auto term = m_terms.at(kPlannerPartition);
   for (const PlannerRecord& record : m_planner->TakeRecords()) {
     term->scheduler().PutMetadata(record.key, record.value);
   }
-  for (const MachineCall& call : m_planner->TakeMachineCalls()) {
-    if (const auto instance = InstanceOf(call)) m_instance_orders.Record(*instance, m_clock->Now());
-    m_callbacks.call_machines(call, Milliseconds(config::kStoreTimeoutMs),
-                              [this, call, term](const MachineReply& reply) {
-                                const WorkTimes::Scope scope(&m_work, m_clock, WorkPart::kPlanning);
-                                if (!m_planner || !term->active()) return;
-                                m_planner->OnMachines(call, reply, m_clock->Now());
-                                ScheduleTick(Milliseconds{0});
-                              });
-  }
+  for (const MachineCall& call : m_planner->TakeMachineCalls()) SendMachineCall(call);
   for (const NodeCall& call : m_planner->TakeNodeCalls()) {
     Handle(call, Milliseconds(config::kStoreTimeoutMs), [this, call](const NodeReply& reply) {
       if (!m_planner || reply.status != NodeStatus::kOk) return;
--- a/src/job_node.h
+++ b/src/job_node.h
@@ -126,8 +126,12 @@
   void RunHandover(const std::shared_ptr<PartitionTerm>& term, Milliseconds now);
   void AnswerHandover(const HandoverCall& call, const Answer& answer);
   void RunPlanner(Milliseconds now);
-  void SendPlannerCalls(Milliseconds now);
-  void SendOrders(const std::shared_ptr<PartitionTerm>& term, Milliseconds now);
+  void SendPlannerCalls();
+  void SendMachineCall(const MachineCall& call);
+  void SendOrders(const std::shared_ptr<PartitionTerm>& term);
+  void SendOrder(const std::shared_ptr<PartitionTerm>& term, const Endpoint& endpoint,
+                 const UpstreamOrder& order);
+  bool MaySend(const UpstreamOrder& order) const;
   void CallStore(const StoreCall& call, Milliseconds timeout, StoreCallback callback);
   void ApplyOperatorRecords();
   void ApplyRegistry();
@@ -161,7 +165,12 @@
   KeyedFollower m_registry;
   std::shared_ptr<const FleetCatalog> m_catalog;
   std::vector<std::function<void(const FleetCatalog&)>> m_catalog_callbacks;
-  std::map<UpstreamId, UpstreamEntry> m_upstreams;
+  /// A record of the registry; no entry when it names no upstream.
+  struct RegistryEntry {
+    std::string record;
+    std::optional<UpstreamEntry> upstream;
+  };
+  std::map<std::string, RegistryEntry> m_registry_entries;
   std::map<int, std::shared_ptr<PartitionTerm>> m_terms;
   std::unique_ptr<MaintenancePlanner> m_planner;
   InstanceOrders m_instance_orders;
--- a/src/job_node_dump.cc
+++ b/src/job_node_dump.cc
@@ -44,7 +44,7 @@
                                {"generation", m_membership.generation()},
                                {"confirmed", m_membership.IsConfirmed(now)},
                                {"store_silent_ms", (now - m_last_store_answer).count()},
-                               {"upstreams_listed", m_upstreams.size()},
+                               {"registry_entries", m_registry_entries.size()},
                                {"planner", m_planner != nullptr},
                                {"owners", std::move(owners)},
                                {"terms", std::move(terms)}};
--- a/src/job_scheduler_upstreams.cc
+++ b/src/job_scheduler_upstreams.cc
@@ -212,6 +212,7 @@
       session->full_until = now + Milliseconds(config::kFullAvoidMs);
       break;
     case OrderOutcome::kUnhealthy:
+    case OrderOutcome::kNotSent:
       session->avoid_until = now + Milliseconds(config::kUnhealthyAvoidMs);
       break;
     case OrderOutcome::kWrongIncarnation: {
--- a/src/jobs.cc
+++ b/src/jobs.cc
@@ -88,6 +88,8 @@
       return "wrong-incarnation";
     case OrderOutcome::kUnhealthy:
       return "unhealthy";
+    case OrderOutcome::kNotSent:
+      return "not-sent";
     case OrderOutcome::kInvalid:
       return "invalid";
   }
--- a/src/jobs.h
+++ b/src/jobs.h
@@ -56,8 +56,8 @@
   bool operator==(const JobSpec&) const = default;
 };
 
-/// @returns whether a job's values are within the limits of config.h and its steps depend on earlier
-/// ones only. A job that isn't must not be scheduled, whoever sent or stored it.
+/// @returns whether a job's values are within the limits of config.h and its steps depend on
+/// earlier ones only. A job that isn't must not be scheduled, whoever sent or stored it.
 bool IsWithinLimits(const JobSpec& spec);
 
 /// Timing of the tickets that a task needs before it may start on an upstream.
@@ -196,6 +196,7 @@
   kTicketInvalid,
   kWrongIncarnation,
   kUnhealthy,  ///< Rejected without effect.
+  kNotSent,    ///< Never sent: no connection was free, or the sender's rights had ended meanwhile.
   kInvalid,
 };
 
--- a/src/keyed_follower.cc
+++ b/src/keyed_follower.cc
@@ -26,6 +26,13 @@
   m_next = Milliseconds{0};
 }
 
+void KeyedFollower::Restart() {
+  Reload();
+  m_loaded = false;
+  m_records.clear();
+  m_current_at.reset();
+}
+
 bool KeyedFollower::OnReply(const StoreReply& reply, Milliseconds now) {
   m_in_flight = false;
   if (reply.status == StoreStatus::kExpired) {
--- a/src/keyed_follower.h
+++ b/src/keyed_follower.h
@@ -28,6 +28,8 @@
 
   /// Starts a new full read; records() doesn't change until it is complete.
   void Reload();
+  /// Starts a new full read without the present records, which may have been outdated for long.
+  void Restart();
 
   /// @returns whether a full read has been completed.
   bool loaded() const { return m_loaded; }
--- a/src/node_link.cc
+++ b/src/node_link.cc
@@ -13,6 +13,7 @@
 
 #include "config.h"
 #include "events.h"
+#include "guarded.h"
 #include "socket_options.h"
 
 namespace endivewood {
@@ -90,7 +91,7 @@
       peer->stream,
       [](bufferevent*, void* reference) {
         auto* const readable = static_cast<Incoming*>(reference);
-        readable->link->OnIncomingReadable(readable);
+        RunGuarded("peer-call", [&] { readable->link->OnIncomingReadable(readable); });
       },
       nullptr,
       [](bufferevent*, short, void* reference) {
@@ -136,7 +137,7 @@
         connection->stream,
         [](bufferevent*, void* reference) {
           auto* const readable = static_cast<Outgoing*>(reference);
-          readable->link->OnOutgoingReadable(readable);
+          RunGuarded("peer-reply", [&] { readable->link->OnOutgoingReadable(readable); });
         },
         nullptr,
         [](bufferevent*, short what, void* reference) {
--- a/tests/async_http_test.cc
+++ b/tests/async_http_test.cc
@@ -8,6 +8,8 @@
 
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <optional>
+#include <stdexcept>
 #include <string>
 #include <thread>
 
@@ -185,5 +187,55 @@
   CHECK(result.took < Milliseconds(100 * (config::kMaxTransferTimeouts + 4)));
 }
 
+// Guards against an order that waits for a connection while the process is paused, and is sent
+// afterwards, when its sender may have lost the right to give it.
+TEST_CASE("a call that waited for a connection isn't sent after its timeout") {
+  EventLoop loop;
+  Clock clock;
+  std::vector<std::string> served;
+  AsyncHttpListener listener(&loop, {.endpoint = {.address = "127.0.0.1", .port = 21922}},
+                             [&](const HttpRequest& request, const auto& respond) {
+                               served.push_back(request.path);
+                               // The process is paused before the first answer arrives.
+                               clock.Advance(Milliseconds(5000));
+                               respond({.status = 200, .headers = {}, .body = "{}"});
+                             });
+  AsyncHttpClient client(&loop, {.max_connections = 1, .clock = &clock});
+  const Endpoint peer{.address = "127.0.0.1", .port = 21922};
+  std::optional<HttpOutcome> second;
+  client.Call(peer, {.method = "GET", .path = "/first"}, Milliseconds(600), [](HttpOutcome) {});
+  client.Call(peer, {.method = "GET", .path = "/second"}, Milliseconds(600),
+              [&](HttpOutcome outcome) {
+                second = std::move(outcome);
+                loop.Stop();
+              });
+  loop.After(Milliseconds(2000), [&] { loop.Stop(); });
+  loop.Run();
+  CHECK(served == std::vector<std::string>{"/first"});
+  REQUIRE(second);
+  CHECK_FALSE(second->reply);
+  CHECK(second->failure == CallFailure::kNotSent);
+}
+
+// Guards against a request whose handler fails ending the process, or being answered as not run.
+TEST_CASE("a request whose handler throws is answered as of unknown outcome") {
+  EventLoop loop;
+  AsyncHttpListener listener(
+      &loop, {.endpoint = {.address = "127.0.0.1", .port = 21922}},
+      [](const HttpRequest&, const auto&) { throw std::runtime_error("unexpected"); });
+  AsyncHttpClient client(&loop, {.max_connections = 1});
+  std::optional<HttpOutcome> outcome;
+  client.Call({.address = "127.0.0.1", .port = 21922}, {.method = "GET", .path = "/"},
+              Milliseconds(600), [&](HttpOutcome answered) {
+                outcome = std::move(answered);
+                loop.Stop();
+              });
+  loop.After(Milliseconds(2000), [&] { loop.Stop(); });
+  loop.Run();
+  REQUIRE(outcome);
+  REQUIRE(outcome->reply);
+  CHECK(outcome->reply->status == 504);
+}
+
 }  // namespace
 }  // namespace endivewood::testing
--- a/tests/job_node_test.cc
+++ b/tests/job_node_test.cc
@@ -19,6 +19,15 @@
       ++appends;
       if (!answers_appends && appends > appends_before_call) return;
     }
+    const auto* const newest = std::get_if<ReadNewest>(&call);
+    const auto* const changes = std::get_if<ReadKeyed>(&call);
+    const bool registry = (newest != nullptr && newest->partition.topic == "registry") ||
+                          (changes != nullptr && changes->partition.topic == "registry");
+    if (registry && !answers_registry) {
+      m_loop->After(Milliseconds(300), [callback] { callback({}); });
+      return;
+    }
+    if (std::holds_alternative<JoinGroup>(call) && !answers_joins) return;
     if (const auto* join = std::get_if<JoinGroup>(&call)) member = join->member;
     if (const auto* claim = std::get_if<ClaimEpoch>(&call)) claims.push_back(*claim);
     if (const auto* leave = std::get_if<LeaveGroup>(&call)) left.push_back(leave->member);
@@ -32,19 +41,28 @@
   std::vector<ClaimEpoch> claims;
   std::vector<std::string> left;  ///< Members that have left the group.
   std::vector<PartitionOwner> owners;
+  std::uint64_t generation = 3;  ///< Of the group.
+  bool holds = true;             ///< Whether the node is given the partitions.
+  bool answers_registry = true;
+  bool answers_joins = true;
 
  private:
   StoreReply Answer(const StoreCall& call) const {
     StoreReply reply{.status = StoreStatus::kOk};
     if (std::holds_alternative<JoinGroup>(call)) {
-      reply.generation = 3;
-      for (int partition = 0; partition < 4; ++partition) reply.held.push_back({"jobs", partition});
+      reply.generation = generation;
+      for (int partition = 0; partition < 4 && holds; ++partition) {
+        reply.held.push_back({"jobs", partition});
+      }
     }
     if (std::holds_alternative<ListOwners>(call)) reply.owners = owners;
     const auto* newest = std::get_if<ReadNewest>(&call);
     if (newest != nullptr && newest->partition.topic == "operators") {
       reply.records = {{.key = "config", .value = "x"}};
     }
+    if (newest != nullptr && newest->partition.topic == "registry") {
+      reply.records = {{.key = "odd", .value = "odd"}, {.key = "i-1", .value = "entry"}};
+    }
     return reply;
   }
 
@@ -72,6 +90,28 @@
     callbacks.call_store = [this](const StoreCall& call, Milliseconds,
                                   const StoreCallback& callback) { store.Call(call, callback); };
     callbacks.call_machines = [](const MachineCall&, Milliseconds, const auto&) {};
+    callbacks.send_renew = [this](const Endpoint&, std::uint64_t, const RenewOrder& order,
+                                  Milliseconds, const std::function<void(RenewReply)>& done) {
+      renewed.push_back(order);
+      loop.After(Milliseconds(5), [this, done] {
+        RenewReply reply{.outcome = OrderOutcome::kDone, .clock = clock.Now().count()};
+        reply.start_time = 1;
+        done(reply);
+      });
+    };
+    callbacks.send_order = [this](const Endpoint&, std::uint64_t, const UpstreamOrder& order,
+                                  Milliseconds, const std::function<void(OrderReply)>&) {
+      if (std::holds_alternative<StartOrder>(order)) ++starts;
+    };
+    callbacks.decode_upstream = [](const std::string& key,
+                                   const std::string& value) -> std::optional<UpstreamEntry> {
+      if (value != "entry") return std::nullopt;
+      return UpstreamEntry{.id = UpstreamId(key),
+                           .service = test_service,
+                           .endpoint = {.address = "127.0.0.1", .port = 1},
+                           .capacity = {.cpu_millicores = 4000, .memory_mb = 8000},
+                           .start_time = 1};
+    };
     callbacks.decode_catalog = [](const std::string&) -> std::optional<FleetCatalog> {
       return FleetCatalog{.version = 1, .queues = {}, .services = {{.name = test_service}}};
     };
@@ -97,6 +137,8 @@
   EventLoop loop;
   Clock clock;
   FakeStore store;
+  std::vector<RenewOrder> renewed;
+  int starts = 0;  ///< Start orders that were sent.
   std::optional<JobNode> node;
 };
 
@@ -218,5 +260,85 @@
   CHECK(fixture.store.claims.size() == 4);
 }
 
+// Guards against work for an upstream that left, or began to drain, while this instance held no
+// partition: its list of upstreams is as old as its last term.
+TEST_CASE("a new term uses no upstream before the registry has been read again") {
+  NodeFixture fixture(21918);
+  std::size_t before = 0;
+  std::size_t after = 0;
+  fixture.loop.After(Milliseconds(800), [&] {
+    before = fixture.renewed.size();
+    fixture.store.holds = false;
+    ++fixture.store.generation;
+  });
+  fixture.loop.After(Milliseconds(1800), [&] {
+    fixture.store.answers_registry = false;
+    fixture.store.holds = true;
+    ++fixture.store.generation;
+    fixture.renewed.clear();
+  });
+  fixture.loop.After(Milliseconds(3200), [&] {
+    after = fixture.renewed.size();
+    fixture.store.answers_registry = true;
+  });
+  fixture.loop.After(Milliseconds(5000), [&] { fixture.loop.Stop(); });
+  fixture.loop.Run();
+  CHECK(before > 0);
+  CHECK(after == 0);
+  CHECK_FALSE(fixture.renewed.empty());
+}
+
+// Guards against starts by a holder that was paused after it had placed them: another holder may
+// have taken the partition meanwhile.
+TEST_CASE("starts that were decided before a pause aren't sent after it") {
+  NodeFixture fixture(21919);
+  fixture.loop.After(Milliseconds(600), [&] {
+    fixture.store.answers_joins = false;
+    fixture.node->Handle(Submission(), Milliseconds(5000),
+                         [&](const NodeReply& reply) { CHECK(reply.status == NodeStatus::kOk); });
+  });
+  // Each event is logged while a tick runs: the pause begins between placement and sending.
+  bool paused = false;
+  SetEventSink({.enabled = [](EventLevel) { return true; },
+                .write =
+                    [&](Event event, const std::vector<EventField>&) {
+                      if (event != Event::kTaskStarted || paused) return;
+                      paused = true;
+                      fixture.clock.Advance(Milliseconds(5000));
+                    }});
+  fixture.loop.After(Milliseconds(1500), [&] { fixture.loop.Stop(); });
+  fixture.loop.Run();
+  SilenceEvents();
+  CHECK(paused);
+  CHECK(fixture.starts == 0);
+}
+
+// Guards against a process that ends, or does nothing more, because of an unexpected error.
+TEST_CASE("an instance goes on after an exception in one of its callbacks") {
+  NodeFixture fixture(21920);
+  int errors = 0;
+  int claims = 0;
+  bool thrown = false;
+  SetEventSink({.enabled = [](EventLevel) { return true; },
+                .write =
+                    [&](Event event, const std::vector<EventField>&) {
+                      if (event == Event::kCallbackFailed) ++errors;
+                      if (event == Event::kPartitionClaimed) ++claims;
+                      if (event != Event::kTaskStarted || thrown) return;
+                      thrown = true;
+                      throw std::runtime_error("unexpected");
+                    }});
+  fixture.loop.After(Milliseconds(600), [&] {
+    fixture.node->Handle(Submission(), Milliseconds(5000), [](const NodeReply&) {});
+  });
+  // By then the term that failed has ended, and the next one holds the partition.
+  fixture.loop.After(Milliseconds(2500), [&] { fixture.loop.Stop(); });
+  fixture.loop.Run();
+  SilenceEvents();
+  CHECK(thrown);
+  CHECK(errors == 1);
+  CHECK(claims == 5);
+}
+
 }  // namespace
 }  // namespace endivewood::testing
