--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,7 @@
-.PHONY: all packages build demo test bench capacity lint
+.PHONY: all packages build demo test bench capacity lint fuzz
+
+SEED ?= 1
+SECONDS ?= 60
 
 all: build
 
@@ -22,5 +25,8 @@
 capacity: build
 	python3 scripts/capacity.py --bin build/bin
 
+fuzz: packages
+	./scripts/fuzz $(SEED) $(SECONDS)
+
 lint: build
 	./scripts/lint
--- a/src/maintenance_planner.cc
+++ b/src/maintenance_planner.cc
@@ -291,7 +291,9 @@
 }
 
 /// Returns the instances of a wave that still need maintenance: spare instances, on which nothing
-/// runs, come first, then those that can be released soonest.
+/// runs, come first. Of the others, those that take long to release alternate with those that can
+/// be released soonest: tasks of one lasting step move one after another, so a wave that leaves
+/// them for its end is late, and one that begins with all of them needs much room at once.
 std::vector<MaintenancePlanner::WaveCandidate> MaintenancePlanner::CandidatesOf(
     const Wave& wave) const {
   const std::map<UpstreamId, Milliseconds> release_times = ReleaseTimes();
@@ -315,7 +317,15 @@
                      if (a.needs_release != b.needs_release) return b.needs_release;
                      return a.release_time < b.release_time;
                    });
-  return candidates;
+  const auto busy = std::find_if(candidates.begin(), candidates.end(),
+                                 [](const WaveCandidate& each) { return each.needs_release; });
+  std::vector<WaveCandidate> ordered(candidates.begin(), busy);
+  std::deque<WaveCandidate> rest(busy, candidates.end());
+  for (bool longest = true; !rest.empty(); longest = !longest) {
+    ordered.push_back(longest ? rest.back() : rest.front());
+    longest ? rest.pop_back() : rest.pop_front();
+  }
+  return ordered;
 }
 
 void MaintenancePlanner::RunWave(Wave* wave, Milliseconds now, const InstanceOrders& orders) {
--- a/tests/maintenance_planner_test.cc
+++ b/tests/maintenance_planner_test.cc
@@ -47,8 +47,12 @@
       const auto* release = std::get_if<ReleaseCall>(&call);
       if (release == nullptr) continue;
       asked.insert(release->upstream);
+      // The time runs from the first request for any of them.
+      const auto slow = released_from.find(release->upstream);
+      if (slow != released_from.end() && !slow_since) slow_since = now;
+      const bool early = slow != released_from.end() && now < *slow_since + slow->second;
       planner->OnRelease(release->upstream,
-                         releases ? ReleaseState::kReleased : ReleaseState::kBusy, now);
+                         releases && !early ? ReleaseState::kReleased : ReleaseState::kBusy, now);
     }
     for (const MachineCall& call : planner->TakeMachineCalls()) Answer(planner, call);
     for (const WaveReport& report : planner->TakeReports()) reports.push_back(report);
@@ -62,6 +66,9 @@
   std::map<ServiceName, int> moved_to;  ///< Moves by target pool.
   std::set<UpstreamId> asked;           ///< Upstreams whose release was requested.
   bool releases = true;
+  /// Upstreams that are released this long after the first request for one of them.
+  std::map<UpstreamId, Milliseconds> released_from;
+  std::optional<Milliseconds> slow_since;
   bool may_order = true;
   InstanceOrders orders{Milliseconds(3000)};
   int max_down = 0;
@@ -178,6 +185,36 @@
   CHECK(second.TakeRecords().empty());
 }
 
+// Guards against a wave that is late because it ends with the instances that take longest: the
+// tasks of a lasting step leave theirs one after another.
+TEST_CASE("a wave doesn't leave the instances that take longest to release for its end") {
+  constexpr int kInstances = 24;
+  constexpr int kSlow = 8;
+  FakeFleet fleet(kInstances);
+  // The slow ones are released one at a time, 1.5 s apart.
+  for (int slow = 0; slow < kSlow; ++slow) {
+    fleet.released_from[UpstreamId("u" + std::to_string(slow))] = Milliseconds(1500 * (slow + 1));
+  }
+  MaintenancePlannerOptions options = Options();
+  options.move_instances = true;
+  MaintenancePlanner planner(options, {});
+  planner.SetCatalog(Catalog());
+  ServiceDemand demand{.upstreams = kInstances, .cpu_capacity = kInstances * 32000};
+  for (int number = 0; number < kInstances; ++number) {
+    const Milliseconds left(number < kSlow ? config::kMoveTimeoutMs : 500 + number);
+    demand.release_order.push_back(
+        {.upstream = UpstreamId("u" + std::to_string(number)), .left = left});
+  }
+  MaintenanceWave wave = fleet.Wave(6);
+  wave.deadline = Milliseconds(16000);
+  planner.SetWaves({wave}, fleet.now);
+  while (fleet.now < Milliseconds(16000)) {
+    planner.OnDemand(test_service, demand, fleet.now);
+    fleet.Tick(&planner);
+  }
+  CHECK(fleet.maintained.size() == kInstances);
+}
+
 // Guards against a pool that gets no instances for a peak while a large wave is in progress.
 TEST_CASE("the releases of a wave don't hold up moves out of its pool") {
   constexpr int kInstances = 120;
