Release instances without lasting tasks all at once when they are to move

Cause: at most 8, or a quarter of a pool, are released at a time. The limit protects lasting tasks, which need room elsewhere; instances without them leave only what the pool doesn't need. Change: the limit counts instances with lasting tasks only.

--- a/src/maintenance_planner.cc
+++ b/src/maintenance_planner.cc
@@ -254,6 +254,24 @@
                   static_cast<int>(instances->second.size()) / config::kReleasePoolDivisor);
 }
 
+/// Lasting tasks have to be started elsewhere first, where they need room.
+bool MaintenancePlanner::IsSlowToRelease(const MachineEntry& machine,
+                                         const std::map<UpstreamId, Milliseconds>& release_times) {
+  const auto time = release_times.find(machine.upstream);
+  return time == release_times.end() || time->second >= Milliseconds(config::kMoveTimeoutMs);
+}
+
+std::map<ServiceName, int> MaintenancePlanner::CountSlowMoves(
+    const std::map<UpstreamId, Milliseconds>& release_times) const {
+  std::map<ServiceName, int> counts;
+  for (const auto& [instance, release] : m_pending_releases) {
+    const auto machine = m_machines.find(instance);
+    if (release.wave || machine == m_machines.end()) continue;
+    if (IsSlowToRelease(machine->second, release_times)) ++counts[machine->second.pool];
+  }
+  return counts;
+}
+
 std::map<UpstreamId, Milliseconds> MaintenancePlanner::ReleaseTimes() const {
   std::map<UpstreamId, Milliseconds> times;
   for (const auto& [service, releases] : m_release_order) {
@@ -494,7 +512,8 @@
   CancelMoves(now);
   const CatalogService* const spare = m_catalog.Spare();
   const ServiceName spare_name = spare == nullptr ? ServiceName() : spare->name;
-  std::map<ServiceName, int> releases = CountReleases(ReleaseKind::kMove);
+  const std::map<UpstreamId, Milliseconds> release_times = ReleaseTimes();
+  std::map<ServiceName, int> slow_releases = CountSlowMoves(release_times);
   std::map<ServiceName, std::deque<const MachineEntry*>> instances;
   std::map<ServiceName, int> sizes = PoolSizes();
   if (spare != nullptr) {
@@ -508,10 +527,12 @@
     if (m_moves_resume_at[move.from] > now) continue;
     const MachineEntry& chosen = *pool->second.front();
     const bool needs_release = NeedsRelease(chosen);
-    const int limit = ReleaseLimitOf(move.from, config::kMinMovesPerService);
-    if (needs_release && releases[move.from] >= limit) continue;
+    if (needs_release && IsSlowToRelease(chosen, release_times)) {
+      const int limit = ReleaseLimitOf(move.from, config::kMinMovesPerService);
+      if (slow_releases[move.from] >= limit) continue;
+      ++slow_releases[move.from];
+    }
     pool->second.pop_front();
-    ++releases[move.from];
     PendingRelease release{.wave = std::nullopt, .target = move.to, .since = now};
     if (!needs_release) release.released_at = now;
     m_pending_releases.emplace(chosen.instance, release);
--- a/src/maintenance_planner.h
+++ b/src/maintenance_planner.h
@@ -108,6 +108,11 @@
   void IssueOrder(const InstanceName& instance, const PendingRelease& release, Milliseconds now);
   bool NeedsRelease(const MachineEntry& machine) const;
   std::map<ServiceName, int> CountReleases(ReleaseKind kind) const;
+  static bool IsSlowToRelease(const MachineEntry& machine,
+                              const std::map<UpstreamId, Milliseconds>& release_times);
+  /// @returns by pool how many instances with lasting tasks are being released for moves.
+  std::map<ServiceName, int> CountSlowMoves(
+      const std::map<UpstreamId, Milliseconds>& release_times) const;
   int ReleaseLimitOf(const ServiceName& service, int minimum) const;
   std::map<ServiceName, int> PoolSizes() const;
   void ForgetUnlistedUpstreams();
