--- a/src/config.h
+++ b/src/config.h
@@ -636,10 +636,6 @@
 /// duration of a failover.
 inline constexpr std::int64_t kFailoverRetryMs = 1000;
 
-/// Longest time in milliseconds after which a caller should retry while the store is away: its four
-/// retries then cover 12 s, and most outages are over sooner.
-inline constexpr std::int64_t kMaxStoreRetryMs = 3000;
-
 /// Delay in milliseconds from which a late tick is logged: a noticeable part of the 600 ms in which
 /// the shortest requests should be answered.
 inline constexpr std::int64_t kReportedDelayMs = 100;
--- a/src/job_node.h
+++ b/src/job_node.h
@@ -154,7 +154,6 @@
   void AnswerLocally(const NodeCall& call, Answer answer);
   void AnswerSubmit(const std::shared_ptr<PartitionTerm>& term, const SubmitCall& call,
                     Answer answer);
-  Milliseconds StoreRetryAfter(const PartitionTerm& term, Milliseconds now) const;
   void AnswerCancel(const std::shared_ptr<PartitionTerm>& term, const CancelCall& call,
                     Answer answer);
   void Attempt(const std::shared_ptr<Forwarding>& forwarding);
--- a/src/job_node_calls.cc
+++ b/src/job_node_calls.cc
@@ -216,7 +216,7 @@
   const bool known = term->scheduler().StateOf(call.spec.id).has_value();
   if (!known && (term->IsStoreDelayed(now) || !m_membership.IsConfirmed(now))) {
     NodeReply reply{.status = NodeStatus::kUnavailable};
-    reply.retry_after = StoreRetryAfter(*term, now);
+    reply.retry_after = Milliseconds(config::kFailoverRetryMs);
     reply.reason = "store-delayed";
     answer(std::move(reply));
     return;
@@ -235,14 +235,6 @@
   ScheduleTick(Milliseconds{0});
 }
 
-/// A caller that comes back each second has used up its few retries when an outage of the store
-/// takes several. An outage is expected to go on for as long as it has lasted.
-Milliseconds JobNode::StoreRetryAfter(const PartitionTerm& term, Milliseconds now) const {
-  const Milliseconds outage = std::max(now - m_last_store_answer, term.AppendDelay(now));
-  return std::clamp(outage, Milliseconds(config::kFailoverRetryMs),
-                    Milliseconds(config::kMaxStoreRetryMs));
-}
-
 void JobNode::AnswerCancel(const std::shared_ptr<PartitionTerm>& term, const CancelCall& call,
                            Answer answer) {
   const CancelResult change = term->scheduler().Cancel(call.job, m_clock->Now());
--- a/src/partition_term.cc
+++ b/src/partition_term.cc
@@ -179,12 +179,8 @@
   for (const Waiter& waiter : ready) waiter.done(true);
 }
 
-Milliseconds PartitionTerm::AppendDelay(Milliseconds now) const {
-  return m_batch ? now - m_batch_since : Milliseconds{0};
-}
-
 bool PartitionTerm::IsStoreDelayed(Milliseconds now) const {
-  return AppendDelay(now) > Milliseconds(config::kStoreDelayedMs);
+  return m_batch && now - m_batch_since > Milliseconds(config::kStoreDelayedMs);
 }
 
 void PartitionTerm::End(const char* cause) {
--- a/src/partition_term.h
+++ b/src/partition_term.h
@@ -50,9 +50,6 @@
   /// Calls `done(true)` once a change is stored, or `done(false)` when the term ends first.
   void WhenDurable(std::uint64_t change, std::function<void(bool)> done);
 
-  /// @returns how long the oldest append has been waiting for its result; 0 without one.
-  Milliseconds AppendDelay(Milliseconds now) const;
-
   /// @returns whether an append has been waiting for longer than config::kStoreDelayedMs.
   bool IsStoreDelayed(Milliseconds now) const;
 
