Stop starts from before a lease end when the upstream answers again

When the upstream can't be reached until its lease has ended, the task starts elsewhere and the reservation is dropped. When it answers again it gets a new lease, and the platform's page doesn't say that a start whose own lease end has passed is late then. Only a new incarnation had such starts stopped. Ruled out: two holders (fencing tokens), carriers (LIMIT is older than they are), waves (at most 116 of 192 permitted instances down within 2 s).

Change: they are stopped when an upstream is fenced again, and keep their reservation until the stop is confirmed.

--- a/src/job_scheduler_upstreams.cc
+++ b/src/job_scheduler_upstreams.cc
@@ -114,8 +114,9 @@
   ScheduleRenew(session, now);
 }
 
-/// A new incarnation doesn't know which runs were stopped. Each start that may still be executed is
-/// therefore stopped there and keeps its reservation until the stop is confirmed.
+/// Neither a new incarnation nor one whose lease had ended knows that the runs of earlier starts
+/// aren't wanted any more. Each start that may still be executed is therefore stopped there and
+/// keeps its reservation until the stop is confirmed.
 void JobScheduler::StopUnansweredStarts(UpstreamSession* session, Milliseconds now) {
   for (const UpstreamSession::UnansweredStart& start : session->unanswered_starts) {
     const auto known = session->hosted.find(start.task);
@@ -301,7 +302,8 @@
   session->clock.Observe(reply.clock, now);
   session->last_answer = now;
   session->unanswered = 0;
-  if (!session->fenced) {
+  const bool fenced_now = !session->fenced;
+  if (fenced_now) {
     session->fenced = true;
     session->hosted_complete = true;
     // A lease extended by an earlier holder ends no later than one that starts now.
@@ -315,6 +317,8 @@
   AcknowledgeFailures(session, order.acknowledge_up_to, now);
   ProcessEndedRows(session, reply.ended, now);
   ProcessRunningRows(session, order, reply.running, now);
+  // Starts that were dropped at the end of a lease may still be executed under the next one.
+  if (fenced_now) StopUnansweredStarts(session, now);
   const bool more_rows = reply.ended.size() >= config::kMaxEndedRows;
   session->next_renew = now + Milliseconds(more_rows ? 0 : config::kRenewSpacingMs);
   if (order.lease_until == std::nullopt) session->next_renew = now;
--- a/tests/job_scheduler_test.cc
+++ b/tests/job_scheduler_test.cc
@@ -79,6 +79,33 @@
   CHECK(simulation.violations.empty());
 }
 
+// Guards against a start that was on its way when its upstream was cut off, and is executed there
+// after the task has been started elsewhere and the upstream has a lease again.
+TEST_CASE("a start from before a lease end doesn't run beside its replacement") {
+  int late_starts = 0;
+  for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+    SchedulerSimulation simulation({.upstreams = 2, .seed = seed});
+    simulation.task_duration = Milliseconds(30000);
+    for (const auto& upstream : simulation.upstreams) upstream->late_by_order = false;
+    simulation.Run(Milliseconds(500));
+    simulation.delayed_order_share = 1;
+    simulation.Submit(simulation.Spec("job", {Step(1, 1000)}), test_policy);
+    simulation.Run(Milliseconds(60));
+    simulation.delayed_order_share = 0;
+    for (const auto& upstream : simulation.upstreams) {
+      const auto& sessions = simulation.holder->sessions();
+      if (!sessions.at(upstream->entry.id).hosted.empty()) upstream->reachable = false;
+    }
+    simulation.Run(Milliseconds(6000));
+    if (simulation.starts > 0) ++late_starts;
+    for (const auto& upstream : simulation.upstreams) upstream->reachable = true;
+    simulation.Run(Milliseconds(12000));
+    INFO("seed " << seed);
+    CHECK(simulation.violations.empty());
+  }
+  CHECK(late_starts > 0);
+}
+
 // Guards against a second run while the first continues in another network partition.
 TEST_CASE("a task on an unreachable upstream restarts only after the lease has ended") {
   SchedulerSimulation simulation({.upstreams = 2});
--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -41,6 +41,9 @@
   bool reachable_by_old_holder = true;  ///< From the previous holder while it still runs.
   bool alive = true;
   bool fails_all = false;
+  /// Whether a start is late once its own lease end has passed, or only once the upstream has no
+  /// lease. The platform's page leaves it open.
+  bool late_by_order = true;
   bool stalled = false;         ///< Tasks make no progress.
   Milliseconds stop_time{0};    ///< From a stop order to the end of the run.
   Milliseconds listed_from{0};  ///< Its registry entry appears at this time.
@@ -92,7 +95,9 @@
                    Milliseconds duration, Milliseconds now) {
     if (token < m_token) return {.outcome = OrderOutcome::kFenced, .clock = ClockAt(now)};
     m_token = token;
-    if (order.lease_until <= ClockAt(now)) {
+    const std::int64_t lease =
+        late_by_order ? order.lease_until : std::max(order.lease_until, m_lease_until);
+    if (lease <= ClockAt(now)) {
       return {.outcome = OrderOutcome::kLeaseExpired, .clock = ClockAt(now)};
     }
     const auto last_ended = m_last_ended_runs.find(order.task);
