--- a/review/standins/platform_bed.py
+++ b/review/standins/platform_bed.py
@@ -408,7 +408,8 @@
 
     async def beat(self):
         while True:
-            await self.bed.store.put("keyed.servers", self.name, json.dumps(self.entry()).encode())
+            if not self.gone:
+                await self.bed.store.put("keyed.servers", self.name, json.dumps(self.entry()).encode())
             await asyncio.sleep(1.5)
 
     async def tick(self):
@@ -528,6 +529,27 @@
         await self.bed.store.put("keyed.servers", self.name, b"")
         self.bed.record("%s has left" % self.name)
 
+    async def crash(self, down_ms, labels=None, cpu=None):
+        """Ends without a word, and starts again under the same id, perhaps as another kind."""
+        self.bed.record("%s crashes" % self.name)
+        self.gone = True
+        for task, run in self.running.items():
+            self.bed.ends[(self, task, run["run"])] = ["crashed", now_ms(), None]
+            if run["gang"] is not None:
+                run["gang"].members.pop(task, None)
+                run["gang"].broken = True
+        self.running, self.ended, self.highest, self.next_end = {}, [], {}, 1
+        self.fence, self.lease, self.lapsed = 0, 0.0, True
+        await asyncio.sleep(down_ms / 1000)
+        self.labels = list(labels or self.labels)
+        self.capacity["cpu"] = cpu or self.capacity["cpu"]
+        self.began, self.born, self.sequence = now_ms(), int(time.time() * 1000), 0
+        # It reports itself before it answers any call.
+        await self.bed.store.put("keyed.servers", self.name, json.dumps(self.entry()).encode())
+        self.gone = False
+        self.bed.record("%s is back with labels %s and %d thousandths of a core" %
+                        (self.name, self.labels, self.capacity["cpu"]))
+
     async def answer(self, request):
         if self.gone:
             return DROP
