Keep suspect upstreams in use, and count a failing job once

Cause: an upstream is suspect after three failures without a success between. Each task of the failing job counted, so that one job made all upstreams suspect; and a suspect upstream got a trial only when nothing at all ran there, which a lasting task prevents for ever. Ruled out: a streak that only the failing job's own retries keep up; without the lasting task it ends with the first success.

Change: the runs of one job count once for each upstream, unless another task of the step has succeeded. A trial is a run that was started while the upstream is suspect; older runs and lasting tasks at work don't stand in its way. Stalled runs and failures of lasting tasks, which led to the same state, count in the same way.

--- a/src/config.h
+++ b/src/config.h
@@ -329,9 +329,9 @@
 /// Maximum number of ended runs in one run list, as specified by the platform's protocol.
 inline constexpr std::size_t kMaxEndedRows = 500;
 
-/// Consecutive failed runs of different jobs after which an upstream is avoided, and for how many
-/// milliseconds. A task that failed elsewhere too doesn't count: a faulty job fails on any
-/// upstream.
+/// Consecutive failed runs, counted by UpstreamSession::CountFailure, after which an upstream is
+/// avoided, and for how many milliseconds. A task that failed elsewhere too doesn't count: a faulty
+/// job fails on any upstream.
 inline constexpr int kFailedStreakLimit = 3;
 inline constexpr std::int64_t kUpstreamAvoidMs = 3000;
 
--- a/src/job.cc
+++ b/src/job.cc
@@ -57,6 +57,11 @@
   return &step.tasks[key.index];
 }
 
+bool Job::AnyTaskDone(const TaskKey& key) const {
+  const auto found = m_occurrences.find(key.occurrence);
+  return found != m_occurrences.end() && found->second.steps[key.step].done > 0;
+}
+
 bool Job::DependenciesDone(const Occurrence& occurrence, int step) const {
   return std::all_of(spec().steps[step].depends.begin(), spec().steps[step].depends.end(),
                      [&](int dependency) {
--- a/src/job.h
+++ b/src/job.h
@@ -128,6 +128,9 @@
   TaskState* Find(const TaskKey& key);
   const StepSpec& StepOf(const TaskKey& key) const { return spec().steps[key.step]; }
 
+  /// @returns whether a task of the same step and occurrence is done.
+  bool AnyTaskDone(const TaskKey& key) const;
+
   /// @returns whether every step that `step` depends on is done.
   bool DependenciesDone(const Occurrence& occurrence, int step) const;
 
--- a/src/job_placement.cc
+++ b/src/job_placement.cc
@@ -116,7 +116,7 @@
     const bool busy_released = session.released_until > now && !session.hosted.empty() &&
                                session.reported_released_until <= now;
     if (!busy_released || !CanRunTasks(session, now)) continue;
-    if (session.failed_streak >= config::kFailedStreakLimit) continue;
+    if (session.IsSuspect()) continue;
     candidates.push_back(CandidateOf(&session, false));
   }
   return candidates;
@@ -127,8 +127,8 @@
   std::vector<UpstreamCandidate> candidates;
   for (auto& [id, session] : *sessions) {
     if (!IsUsable(session, now)) continue;
-    const bool suspect = session.failed_streak >= config::kFailedStreakLimit;
-    if (suspect && !session.hosted.empty()) continue;
+    const bool suspect = session.IsSuspect();
+    if (suspect && session.HasUndecidedTrial()) continue;
     candidates.push_back(CandidateOf(&session, suspect));
   }
   return candidates;
@@ -230,7 +230,7 @@
     } else if (session.released_until > now) {
       ++counts.released;
     } else if (session.avoid_until > now || session.full_until > now ||
-               session.failed_streak >= config::kFailedStreakLimit) {
+               (session.IsSuspect() && session.HasUndecidedTrial())) {
       ++counts.avoided;
     } else if (!IsUsable(session, now)) {
       ++counts.starting;
--- a/src/job_scheduler_run_lists.cc
+++ b/src/job_scheduler_run_lists.cc
@@ -75,7 +75,7 @@
   if (row.end == RunEnd::kFailed) {
     HandleFailure(session, &job, task, row, now);
   } else if (row.end == RunEnd::kDone && !before_lapse && !lasting) {
-    session->failed_streak = 0;
+    session->ForgetFailures();
     job.MarkDone(row.task);
     job.started = true;
     if (job.state == JobState::kComplete) {
@@ -94,8 +94,8 @@
   const bool failed_before = !task->failed.empty();
   task->avoided.push_back(session->entry.id);
   // A task that has failed before is no evidence against this upstream.
-  if (!failed_before) ++session->failed_streak;
-  if (session->failed_streak >= config::kFailedStreakLimit) {
+  if (!failed_before) session->CountFailure(row.task.job, job->AnyTaskDone(row.task), now);
+  if (session->IsSuspect()) {
     session->avoid_until = now + Milliseconds(config::kUpstreamAvoidMs);
     LogEvent(Event::kUpstreamAvoided,
              {{"upstream", session->entry.id}, {"failed_streak", session->failed_streak}});
--- a/src/job_scheduler_upstreams.cc
+++ b/src/job_scheduler_upstreams.cc
@@ -110,7 +110,7 @@
   session->pending_acks.clear();
   session->unanswered = 0;
   session->avoid_until = Milliseconds{0};
-  session->failed_streak = 0;
+  session->ForgetFailures();
   ScheduleRenew(session, now);
 }
 
@@ -479,10 +479,9 @@
                                  {"upstream", session->entry.id},
                                  {"cause", "stalled"},
                                  {"percent", run.percent}});
-    if (TaskState* state = m_jobs[task.job]->Find(task)) {
-      state->avoided.push_back(session->entry.id);
-    }
-    ++session->failed_streak;
+    Job& job = *m_jobs[task.job];
+    if (TaskState* state = job.Find(task)) state->avoided.push_back(session->entry.id);
+    session->CountFailure(task.job, job.AnyTaskDone(task), now);
     session->avoid_until = now + Milliseconds(config::kUpstreamAvoidMs);
     Stop(session, task, &run, now);
   }
--- a/src/upstream_session.cc
+++ b/src/upstream_session.cc
@@ -52,6 +52,27 @@
   return free;
 }
 
+void UpstreamSession::CountFailure(const JobId& job, bool step_succeeds, Milliseconds now) {
+  const bool first_of_job = failed_jobs.insert(job).second;
+  if (!first_of_job && !step_succeeds) return;
+  if (++failed_streak == config::kFailedStreakLimit) suspect_since = now;
+}
+
+void UpstreamSession::ForgetFailures() {
+  failed_streak = 0;
+  failed_jobs.clear();
+}
+
+bool UpstreamSession::IsSuspect() const { return failed_streak >= config::kFailedStreakLimit; }
+
+bool UpstreamSession::HasUndecidedTrial() const {
+  return std::any_of(hosted.begin(), hosted.end(), [&](const auto& each) {
+    const HostedRun& run = each.second;
+    const bool at_work = run.lasting && run.percent >= 100;
+    return run.ordered_at >= suspect_since && !at_work;
+  });
+}
+
 Milliseconds UpstreamSession::LatestLeaseEnd() const {
   // Before the first run list, a lease may come from another holder's orders or from orders that
   // were sent to another incarnation.
--- a/src/upstream_session.h
+++ b/src/upstream_session.h
@@ -5,6 +5,7 @@
 
 #include <deque>
 #include <map>
+#include <set>
 
 #include "jobs.h"
 
@@ -151,9 +152,12 @@
   bool renew_without_extension = true;
   Milliseconds next_renew{0};
   Milliseconds last_answer{0};
-  int unanswered = 0;              ///< Consecutive orders without an answer.
-  Milliseconds avoid_until{0};     ///< No task is placed here before this time.
-  int failed_streak = 0;           ///< Consecutive failed runs of different tasks.
+  int unanswered = 0;           ///< Consecutive orders without an answer.
+  Milliseconds avoid_until{0};  ///< No task is placed here before this time.
+  /// Failed and stalled runs since the last one that succeeded, see CountFailure.
+  int failed_streak = 0;
+  std::set<JobId> failed_jobs;     ///< Jobs of these runs.
+  Milliseconds suspect_since{0};   ///< When `failed_streak` reached its limit.
   Milliseconds full_until{0};      ///< It rejected a start for lack of capacity.
   Milliseconds released_until{0};  ///< Reserved for a move or maintenance until this time.
   /// The planner was told that nothing runs here, and may act on it until this time.
@@ -167,6 +171,18 @@
   /// @returns whether it belongs to the capacity of its service.
   bool CountsAsCapacity() const { return listed && !IsLost(); }
 
+  /// Counts a failed or stalled run against the upstream. The runs of one job count once, unless
+  /// other tasks of the step have succeeded elsewhere: a job that can't be done fails on any
+  /// upstream.
+  /// @param step_succeeds whether a task of the run's step is done.
+  void CountFailure(const JobId& job, bool step_succeeds, Milliseconds now);
+  void ForgetFailures();
+  /// @returns whether its runs fail so often that it gets one task at a time until one succeeds.
+  bool IsSuspect() const;
+  /// @returns whether a run that was started while it is suspect is still undecided. Runs from
+  /// before don't count, nor do lasting tasks at work, which may never end.
+  bool HasUndecidedTrial() const;
+
   /// @returns the local time by which every lease has ended, whatever the clock error.
   Milliseconds LatestLeaseEnd() const;
 
--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,9 @@
   bool reachable_by_old_holder = true;  ///< From the previous holder while it still runs.
   bool alive = true;
   bool fails_all = false;
+  std::set<JobId> failing_jobs;   ///< Jobs whose tasks fail.
+  bool refuses_starts = false;    ///< Answers starts as an unhealthy upstream.
+  std::size_t listed_ends = 500;  ///< Maximum number of ended runs in one list.
   /// Whether a start is late once its own lease end has passed, or only once the upstream has no
   /// lease. The platform's page leaves it open.
   bool late_by_order = true;
@@ -52,6 +56,7 @@
   std::map<TaskKey, Running> running;
   std::vector<EndedRow> ended;
   std::uint64_t acknowledged_up_to = 0;
+  std::size_t ended_runs = 0;  ///< In all incarnations.
 
   bool IsListed(Milliseconds now) const { return alive ? now >= listed_from : now < listed_until; }
 
@@ -87,7 +92,10 @@
         finished.push_back(task);
       }
     }
-    for (const TaskKey& task : finished) End(task, fails_all ? RunEnd::kFailed : RunEnd::kDone);
+    for (const TaskKey& task : finished) {
+      const bool fails = fails_all || failing_jobs.count(task.job) > 0;
+      End(task, fails ? RunEnd::kFailed : RunEnd::kDone);
+    }
     for (const TaskKey& task : stopped) End(task, RunEnd::kStopped);
   }
 
@@ -95,6 +103,7 @@
                    Milliseconds duration, Milliseconds now) {
     if (token < m_token) return {.outcome = OrderOutcome::kFenced, .clock = ClockAt(now)};
     m_token = token;
+    if (refuses_starts) return {.outcome = OrderOutcome::kUnhealthy};
     const std::int64_t lease =
         late_by_order ? order.lease_until : std::max(order.lease_until, m_lease_until);
     if (lease <= ClockAt(now)) {
@@ -144,7 +153,8 @@
     acknowledged_up_to = std::max(acknowledged_up_to, order.acknowledge_up_to);
     if (order.lease_until) m_lease_until = std::max(m_lease_until, *order.lease_until);
     std::erase_if(ended, [&](const EndedRow& row) { return row.number <= acknowledged_up_to; });
-    reply.ended = ended;
+    const std::size_t listed = std::min(ended.size(), listed_ends);
+    reply.ended.assign(ended.begin(), ended.begin() + static_cast<std::ptrdiff_t>(listed));
     for (const auto& [task, run] : running) {
       const auto percent = run.lasting ? 100
                            : stalled
@@ -173,6 +183,7 @@
   void End(const TaskKey& task, RunEnd how) {
     const Running run = running.at(task);
     running.erase(task);
+    ++ended_runs;
     auto& last_ended = m_last_ended_runs[task];
     last_ended = std::max(last_ended, run.run);
     ended.push_back({.number = ++m_number,
@@ -309,6 +320,7 @@
   std::map<JobId, JobSpec> specs;
   std::vector<Violation> violations;
   int starts = 0;
+  int renewals = 0;
 
  private:
   /// A renew order that waits for the end of a run.
@@ -424,6 +436,10 @@
       ++starts;
       const StepSpec& step = specs.at(start->task.job).steps[start->task.step];
       CheckDependencies(*start);
+      const std::vector<std::string>& labels = upstream->entry.labels;
+      const bool labelled = step.required_label.empty() ||
+                            std::count(labels.begin(), labels.end(), step.required_label) > 0;
+      if (!labelled) violations.push_back({"label: " + start->task.str(), now});
       const Milliseconds duration = m_options.run_for_estimate ? step.estimate : task_duration;
       return upstream->Start(*start, token, step, duration, now);
     }
@@ -436,6 +452,7 @@
       const UpstreamId id = std::visit([](const auto& each) { return each.upstream; }, order);
       FakeUpstream* const upstream = Find(id);
       if (const auto* renew = std::get_if<RenewOrder>(&order)) {
+        ++renewals;
         if (scheduler != holder.get()) {
           const bool reached = upstream->alive && upstream->reachable_by_old_holder;
           const RenewReply reply = reached ? upstream->Renew(*renew, token, now)
