Read all ended runs before tasks start again

Cause: an upstream lists at most 500 ended runs and the others once these are acknowledged; the scheduler took the first list for the whole and started every task again that it didn't show. Ruled out: ends that were lost or acknowledged too early; the record shows the 120 ends in the second list, read after the starts.

Change: the wire decoder says whether more ends may follow, counting the rows as received. Until the last list, tasks of earlier holders wait, and a run that isn't listed is neither dropped nor stopped nor taken for stalled; its upstream isn't released or forgotten. A full list is read again after the usual spacing, not in each round trip.

--- a/src/config.h
+++ b/src/config.h
@@ -326,9 +326,6 @@
 /// Milliseconds before an unanswered stop order is sent again.
 inline constexpr std::int64_t kStopRetryMs = 300;
 
-/// Maximum number of ended runs in one run list, as specified by the platform's protocol.
-inline constexpr std::size_t kMaxEndedRows = 500;
-
 /// Consecutive failed runs, counted by UpstreamSession::CountFailure, after which an upstream is
 /// avoided, and for how many milliseconds. A task that failed elsewhere too doesn't count: a faulty
 /// job fails on any upstream.
--- a/src/job_codec.h
+++ b/src/job_codec.h
@@ -29,5 +29,6 @@
 ENDIVEWOOD_CODEC(endivewood::OrderReply, v.outcome, v.clock)
 ENDIVEWOOD_CODEC(endivewood::RunningRow, v.task, v.run, v.checkpoint, v.percent, v.usage)
 ENDIVEWOOD_CODEC(endivewood::EndedRow, v.number, v.task, v.run, v.end, v.checkpoint)
-ENDIVEWOOD_CODEC(endivewood::RenewReply, v.outcome, v.clock, v.start_time, v.running, v.ended)
+ENDIVEWOOD_CODEC(endivewood::RenewReply, v.outcome, v.clock, v.start_time, v.running, v.ended,
+                 v.more_ended)
 // clang-format on
--- a/src/job_scheduler_run_lists.cc
+++ b/src/job_scheduler_run_lists.cc
@@ -240,6 +240,8 @@
       if (retry_stop) Stop(session, task, &run, now);
       continue;
     }
+    // Its end may be listed later.
+    if (session->more_ended) continue;
     const bool listed_after_start = run.ordered_at < order.sent_at;
     switch (run.state) {
       case HostedState::kStarting:
--- a/src/job_scheduler_upstreams.cc
+++ b/src/job_scheduler_upstreams.cc
@@ -51,7 +51,8 @@
     UpstreamSession& session = it->second;
     session.listed = listed.count(it->first) > 0;
     const bool idle = session.hosted.empty() && !session.renew_in_flight;
-    const bool no_unknown_runs = session.hosted_complete || session.LatestLeaseEnd() <= now;
+    const bool lists_complete = session.hosted_complete && !session.more_ended;
+    const bool no_unknown_runs = lists_complete || session.LatestLeaseEnd() <= now;
     if (session.listed || !idle || !no_unknown_runs) {
       ++it;
       continue;
@@ -91,6 +92,7 @@
   DropUnacknowledgedFailures(session, now);
   session->start_time = start_time;
   session->hosted_complete = false;
+  session->more_ended = false;
   session->fenced = false;
   session->clock = RemoteClock();
   session->lease_until = 0;
@@ -311,16 +313,17 @@
     LogEvent(Event::kUpstreamFenced, {{"upstream", order.upstream},
                                       {"epoch", m_options.epoch},
                                       {"running", reply.running.size()},
-                                      {"ended", reply.ended.size()}});
+                                      {"ended", reply.ended.size()},
+                                      {"more_ended", reply.more_ended}});
   }
+  session->more_ended = reply.more_ended;
   session->acknowledged_cursor = std::max(session->acknowledged_cursor, order.acknowledge_up_to);
   AcknowledgeFailures(session, order.acknowledge_up_to, now);
   ProcessEndedRows(session, reply.ended, now);
   ProcessRunningRows(session, order, reply.running, now);
   // Starts that were dropped at the end of a lease may still be executed under the next one.
   if (fenced_now) StopUnansweredStarts(session, now);
-  const bool more_rows = reply.ended.size() >= config::kMaxEndedRows;
-  session->next_renew = now + Milliseconds(more_rows ? 0 : config::kRenewSpacingMs);
+  session->next_renew = now + Milliseconds(config::kRenewSpacingMs);
   if (order.lease_until == std::nullopt) session->next_renew = now;
   m_next_due = Milliseconds{0};
 }
@@ -378,7 +381,7 @@
       std::all_of(session->hosted.begin(), session->hosted.end(),
                   [](const auto& each) { return each.second.state == HostedState::kRunning; });
   const bool busy = !session->hosted.empty();
-  if (session->fenced && all_running && session->pending_acks.empty()) {
+  if (session->fenced && all_running && session->pending_acks.empty() && !session->more_ended) {
     order.wait = Milliseconds(busy ? config::kBusyRenewWaitMs : config::kIdleRenewWaitMs);
   }
   session->renew_sent_at = now;
@@ -392,8 +395,11 @@
 void JobScheduler::ResolveInheritedTasks(Milliseconds now, Milliseconds confirmed_at) {
   Milliseconds latest{0};
   for (const auto& [id, session] : m_sessions) {
-    if (session.fenced || session.inherited_lease_end <= std::min(now, confirmed_at)) continue;
-    latest = std::max(latest, session.inherited_lease_end);
+    if (session.fenced && !session.more_ended) continue;
+    const Milliseconds lease_end =
+        session.fenced ? session.LatestLeaseEnd() : session.inherited_lease_end;
+    if (lease_end <= std::min(now, confirmed_at)) continue;
+    latest = std::max(latest, lease_end);
   }
   if (latest > Milliseconds{0}) {
     m_next_due = std::min(m_next_due, std::max(latest, now + Milliseconds(config::kRenewRetryMs)));
@@ -455,16 +461,19 @@
   m_next_due = now;
   // Ended runs that aren't acknowledged yet would be lost with the instance.
   const bool all_acknowledged = session->acknowledged_cursor >= session->processed_cursor;
-  const bool nothing_outstanding =
-      (session->fenced && all_acknowledged) || session->LatestLeaseEnd() <= now;
+  const bool nothing_outstanding = (session->fenced && all_acknowledged && !session->more_ended) ||
+                                   session->LatestLeaseEnd() <= now;
   if (!session->hosted.empty() || !nothing_outstanding) return ReleaseState::kBusy;
   session->reported_released_until = until;
   return ReleaseState::kReleased;
 }
 
 void JobScheduler::MoveStalledTasks(UpstreamSession* session, Milliseconds now) {
-  // Without a further answer no more runs are known to be stalled.
-  if (session->unanswered > 0 || session->stalls_checked_at == session->last_answer) return;
+  // Without a further answer no more runs are known to be stalled, and a run that isn't listed may
+  // have ended.
+  if (session->unanswered > 0 || session->more_ended ||
+      session->stalls_checked_at == session->last_answer)
+    return;
   session->stalls_checked_at = session->last_answer;
   for (auto& [task, run] : session->hosted) {
     if (run.state != HostedState::kRunning || run.lasting) continue;
--- a/src/jobs.h
+++ b/src/jobs.h
@@ -241,6 +241,8 @@
   std::int64_t start_time = 0;
   std::vector<RunningRow> running;
   std::vector<EndedRow> ended;
+  /// Further ended runs may follow, which are listed only after these have been acknowledged.
+  bool more_ended = false;
 };
 
 }  // namespace endivewood
--- a/src/upstream_session.h
+++ b/src/upstream_session.h
@@ -103,6 +103,8 @@
   bool registered = false;  ///< Its UpstreamRecord is stored.
   std::uint64_t registered_at_change = 0;
   bool hosted_complete = false;  ///< A run list was read, so `hosted` is complete.
+  /// The last run list may not contain all ended runs, so a run that isn't listed may have ended.
+  bool more_ended = false;
   /// It has accepted this holder's fencing token, so no older holder can change its runs.
   bool fenced = false;
   std::int64_t start_time = 0;
--- a/tests/platform_wire_test.cc
+++ b/tests/platform_wire_test.cc
@@ -174,6 +174,22 @@
         StoreStatus::kFenced);
 }
 
+// Guards against a full list of ended runs that is taken for a complete one, also when a row of it
+// can't be read.
+TEST_CASE("a full list of ended runs says that more may follow") {
+  const auto list_of = [](int rows) {
+    std::string ended = R"([1,"a.0.1",2,"done",""])";
+    for (int row = 2; row <= rows; ++row) {
+      ended += ",[" + std::to_string(row) + R"(,"a.0.1.3",2,"done",""])";
+    }
+    return DecodeRenewReply(Reply(200, R"({"clock_ms":9,"born":3,"ended":[)" + ended + "]}"));
+  };
+  CHECK(list_of(500).ended.size() == 499);
+  CHECK(list_of(500).more_ended);
+  CHECK_FALSE(list_of(499).more_ended);
+  CHECK_FALSE(DecodeRenewReply(Reply(200, R"({"clock_ms":9,"born":3})")).more_ended);
+}
+
 // Guards against records that are altered on the way to the store and back.
 TEST_CASE("binary keyed records are encoded and decoded unchanged") {
   const std::string value("\x00\xff\x7f value", 9);
--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -155,6 +155,7 @@
     std::erase_if(ended, [&](const EndedRow& row) { return row.number <= acknowledged_up_to; });
     const std::size_t listed = std::min(ended.size(), listed_ends);
     reply.ended.assign(ended.begin(), ended.begin() + static_cast<std::ptrdiff_t>(listed));
+    reply.more_ended = listed == listed_ends;
     for (const auto& [task, run] : running) {
       const auto percent = run.lasting ? 100
                            : stalled
