Count a job as begun once an upstream has shown it

Cause: a job counted as begun as soon as a start was ordered. Neither a refusal nor a missing answer took that back, and it was stored. Ruled out: a count from an instance that isn't the holder; calls for the count go to the holder.

Change: a job has begun once an upstream has accepted a start, or listed a run or an end of it. Only then it is stored and reported as running.

--- a/src/job.h
+++ b/src/job.h
@@ -152,7 +152,7 @@
   std::int64_t work() const { return m_work; }
 
   JobState state = JobState::kQueued;
-  bool started = false;                  ///< Whether any task has ever been ordered to start.
+  bool started = false;                  ///< Whether any task is known to have run.
   bool record_stored = false;            ///< The job record is in the store or in a batch.
   std::uint64_t accepted_at_change = 0;  ///< Change number of the acceptance.
   std::uint64_t ended_at_change = 0;     ///< Change number of the final state.
--- a/src/job_scheduler.cc
+++ b/src/job_scheduler.cc
@@ -504,10 +504,6 @@
   session.unanswered_starts.push_back(
       {.task = key, .run = run, .reserved = hosted.reserved, .sent_at = now});
   const std::int64_t until = session.clock.LowerBoundAt(now) + m_options.lease.count();
-  const bool first_start = !waiting->job->started;
-  waiting->job->started = true;
-  if (first_start) MarkDirty(JobKey(key.job), false);
-  waiting->job->state = JobState::kRunning;
   // A start doesn't extend the lease beyond the last renewal.
   m_orders.emplace_back(StartOrder{.upstream = session.entry.id,
                                    .task = key,
@@ -527,6 +523,13 @@
                                  {"free_millicores", candidate->free.cpu_millicores}});
 }
 
+void JobScheduler::NoteStarted(Job* job) {
+  if (job->started) return;
+  job->started = true;
+  job->state = JobState::kRunning;
+  MarkDirty(JobKey(job->spec().id), false);
+}
+
 std::vector<UpstreamOrder> JobScheduler::TakeOrders() { return std::exchange(m_orders, {}); }
 
 Milliseconds JobScheduler::NextDue(Milliseconds now) const { return std::max(now, m_next_due); }
--- a/src/job_scheduler.h
+++ b/src/job_scheduler.h
@@ -185,6 +185,9 @@
                  Milliseconds now);
   void Start(WaitingStep* waiting, int index, std::uint64_t run, UpstreamCandidate* candidate,
              Milliseconds now);
+  /// Call when an upstream has shown that a task of the job runs or has run. An ordered start isn't
+  /// enough: it may be refused or never arrive.
+  void NoteStarted(Job* job);
   bool IsLate(const TaskKey& task, Milliseconds now) const;
   /// @returns the load, which may be up to kLoadAgeMs old except for jobs accepted since.
   ServiceLoad& LoadOf(const ServiceName& service, Milliseconds now);
--- a/src/job_scheduler_run_lists.cc
+++ b/src/job_scheduler_run_lists.cc
@@ -67,6 +67,7 @@
                                {"ran_ms", ran},
                                {"current", current},
                                {"before_lapse", before_lapse}});
+  if (found != m_jobs.end()) NoteStarted(found->second.get());
   if (!current) return;
   Job& job = *found->second;
   if (!row.checkpoint.empty()) task->checkpoint = row.checkpoint;
@@ -77,7 +78,6 @@
   } else if (row.end == RunEnd::kDone && !before_lapse && !lasting) {
     session->ForgetFailures();
     job.MarkDone(row.task);
-    job.started = true;
     if (job.state == JobState::kComplete) {
       EndJob(row.task.job, JobState::kComplete, now);
     } else {
@@ -170,6 +170,8 @@
     }
     listed.insert(row.task);
     HostedRun& run = found->second;
+    const auto job = m_jobs.find(row.task.job);
+    if (!run.listed && job != m_jobs.end()) NoteStarted(job->second.get());
     run.listed = true;
     if (run.state == HostedState::kStarting || run.state == HostedState::kUncertain) {
       run.state = HostedState::kRunning;
@@ -180,7 +182,6 @@
     run.usage = row.usage;
     if (row.checkpoint.empty() || row.checkpoint == run.checkpoint) continue;
     run.checkpoint = row.checkpoint;
-    const auto job = m_jobs.find(row.task.job);
     TaskState* task = job == m_jobs.end() ? nullptr : job->second->Find(row.task);
     if (task != nullptr) task->checkpoint = row.checkpoint;
   }
@@ -218,6 +219,7 @@
                                  {"run", row.run},
                                  {"upstream", session->entry.id},
                                  {"wanted", wanted}});
+  if (found != m_jobs.end()) NoteStarted(found->second.get());
   HostedRun& kept = session->hosted.Put(row.task, hosted);
   if (!wanted) {
     Stop(session, row.task, &kept, now);
@@ -227,7 +229,6 @@
   task->inherited = false;
   if (!row.checkpoint.empty()) task->checkpoint = row.checkpoint;
   ++found->second->occurrences().at(row.task.occurrence).steps[row.task.step].placed;
-  found->second->started = true;
 }
 
 void JobScheduler::ReconcileMissingRuns(UpstreamSession* session, const RenewOrder& order,
--- a/src/job_scheduler_upstreams.cc
+++ b/src/job_scheduler_upstreams.cc
@@ -203,6 +203,9 @@
         run.state = HostedState::kRunning;
         run.confirmed_at = now;
       }
+      if (const auto job = m_jobs.find(order.task.job); job != m_jobs.end()) {
+        NoteStarted(job->second.get());
+      }
       session->unanswered = 0;
       return;
     case OrderOutcome::kNoAnswer:
