Place nothing on an incarnation that isn't described yet

Cause: the run list showed the new incarnation before the registry did. The scheduler followed the new one and kept the labels, capacity and service of the registry entry of the one before. Ruled out: a registry that stays old; it is read every 300 ms, and the starts came 100 to 200 ms after the new incarnation had begun.

Change: an upstream takes tasks only while its registry entry describes the incarnation that answers, by the start that both of them state.

Evidence: upstream_incarnation_test fails in 3 of 4 cases without the line (shown again by taking it out), and passes with it.

--- a/src/job_placement.cc
+++ b/src/job_placement.cc
@@ -50,6 +50,7 @@
 /// @returns whether an upstream can run tasks, released or not.
 bool CanRunTasks(const UpstreamSession& session, Milliseconds now) {
   if (!session.listed || !session.fenced || !session.registered) return false;
+  if (!session.IsDescribed()) return false;
   if (session.entry.draining || session.unanswered > 0) return false;
   if (session.avoid_until > now || session.full_until > now) return false;
   return session.clock.known() && session.lease_until > session.clock.LowerBoundAt(now);
--- a/src/upstream_session.h
+++ b/src/upstream_session.h
@@ -170,6 +170,11 @@
   Capacity Free() const;
   /// @returns whether it is draining or doesn't answer. One order without an answer isn't enough.
   bool IsLost() const { return entry.draining || unanswered > 1; }
+  /// @returns whether `entry` describes the incarnation that answers. The registry may show a new
+  /// one, with other labels and capacity, later than its first answer.
+  bool IsDescribed() const {
+    return entry.start_time == 0 || start_time == 0 || entry.start_time == start_time;
+  }
   /// @returns whether it belongs to the capacity of its service.
   bool CountsAsCapacity() const { return listed && !IsLost(); }
 
