Play the random faults with run lists that are too short

Cause: the seeded simulation listed all ended runs at once, so that none of its faults met a list with further ends.

Change: the body of the random-fault test takes the length of a list; a second case plays 50 seeds each with lists of 1, 2 and 5 ends. Two steps that three tests of ended_runs_list_test share are one function.

--- a/tests/ended_runs_list_test.cc
+++ b/tests/ended_runs_list_test.cc
@@ -28,6 +28,18 @@
   simulation->Run(Milliseconds(200));
 }
 
+/// Replaces the holder after the tasks have ended on an upstream that it couldn't reach.
+void ReplaceHolderAfterEnds(SchedulerSimulation* simulation) {
+  FakeUpstream& upstream = *simulation->upstreams[0];
+  StartTasks(simulation);
+  upstream.reachable = false;
+  REQUIRE(
+      simulation->RunUntil([&] { return upstream.ended.size() == kTasks; }, Milliseconds(3000)));
+  simulation->StartNewHolder();
+  simulation->old_holder.reset();
+  upstream.reachable = true;
+}
+
 bool Complete(const SchedulerSimulation& simulation) {
   return simulation.StateOf("job") == JobState::kComplete;
 }
@@ -37,15 +49,8 @@
   for (const std::size_t listed : {std::size_t{500}, std::size_t{100}, std::size_t{7}}) {
     CAPTURE(listed);
     SchedulerSimulation simulation(OneLargeUpstream());
-    FakeUpstream& upstream = *simulation.upstreams[0];
-    upstream.listed_ends = listed;
-    StartTasks(&simulation);
-    upstream.reachable = false;
-    REQUIRE(
-        simulation.RunUntil([&] { return upstream.ended.size() == kTasks; }, Milliseconds(3000)));
-    simulation.StartNewHolder();
-    simulation.old_holder.reset();
-    upstream.reachable = true;
+    simulation.upstreams[0]->listed_ends = listed;
+    ReplaceHolderAfterEnds(&simulation);
     CHECK(simulation.RunUntil([&] { return Complete(simulation); }, Milliseconds(20000)));
     CHECK(simulation.starts == kTasks);
   }
@@ -55,13 +60,7 @@
 // ends at once.
 TEST_CASE("a new holder without a store doesn't restart tasks whose ends aren't listed yet") {
   SchedulerSimulation simulation(OneLargeUpstream());
-  FakeUpstream& upstream = *simulation.upstreams[0];
-  StartTasks(&simulation);
-  upstream.reachable = false;
-  REQUIRE(simulation.RunUntil([&] { return upstream.ended.size() == kTasks; }, Milliseconds(3000)));
-  simulation.StartNewHolder();
-  simulation.old_holder.reset();
-  upstream.reachable = true;
+  ReplaceHolderAfterEnds(&simulation);
   simulation.store_up = false;
   simulation.Run(Milliseconds(8000));
   simulation.store_up = true;
@@ -107,13 +106,8 @@
 // Guards against an upstream that the planner restarts before all its ends were read.
 TEST_CASE("an upstream isn't released before all its ended runs are acknowledged") {
   SchedulerSimulation simulation(OneLargeUpstream());
-  FakeUpstream& upstream = *simulation.upstreams[0];
-  StartTasks(&simulation);
-  upstream.reachable = false;
-  REQUIRE(simulation.RunUntil([&] { return upstream.ended.size() == kTasks; }, Milliseconds(3000)));
-  simulation.StartNewHolder();
-  simulation.old_holder.reset();
-  upstream.reachable = true;
+  ReplaceHolderAfterEnds(&simulation);
+  const FakeUpstream& upstream = *simulation.upstreams[0];
   REQUIRE(simulation.RunUntil(
       [&] {
         return simulation.holder->Release(upstream.entry.id, simulation.now) ==
--- a/tests/job_scheduler_test.cc
+++ b/tests/job_scheduler_test.cc
@@ -461,59 +461,71 @@
   CHECK(started == 30);
 }
 
+/// Plays random faults for about 30 s.
+/// @param listed_ends maximum number of ended runs in one run list.
+void PlayRandomFaults(unsigned seed, std::size_t listed_ends) {
+  CAPTURE(seed, listed_ends);
+  std::mt19937 random(seed);
+  const auto draw = [&](int most) {
+    return std::uniform_int_distribution<int>(0, most - 1)(random);
+  };
+  SchedulerSimulation simulation({.upstreams = 5, .seed = seed});
+  for (const auto& upstream : simulation.upstreams) upstream->listed_ends = listed_ends;
+  simulation.lost_answer_share = 0.1;
+  simulation.delayed_order_share = 0.05;
+  std::int64_t start_time = 2;
+  for (int round = 0; round < 60; ++round) {
+    StepSpec second = Step(1 + draw(4), 500 + draw(3000));
+    second.depends = {0};
+    simulation.Submit(simulation.Spec("job" + std::to_string(round),
+                                      {Step(1 + draw(6), 500 + draw(2000)), second}),
+                      test_policy);
+    FakeUpstream& upstream = *simulation.upstreams[draw(5)];
+    switch (draw(8)) {
+      case 0:
+        upstream.reachable = !upstream.reachable;
+        break;
+      case 1:
+        upstream.Restart(simulation.now, start_time++);
+        break;
+      case 2:
+        simulation.store_up = !simulation.store_up;
+        break;
+      case 3:
+        if (simulation.store_up) {
+          simulation.StartNewHolder();
+          if (draw(2) == 0) simulation.old_holder.reset();
+          for (const auto& each : simulation.upstreams)
+            each->reachable_by_old_holder = draw(2) == 0;
+        }
+        break;
+      default:
+        break;
+    }
+    simulation.Run(Milliseconds(100 + draw(900)));
+  }
+  simulation.store_up = true;
+  simulation.lost_answer_share = 0;
+  simulation.delayed_order_share = 0;
+  for (const auto& upstream : simulation.upstreams) upstream->reachable = true;
+  simulation.Run(Milliseconds(40000));
+  for (const Violation& violation : simulation.violations) {
+    CAPTURE(violation.what, violation.at.count());
+    CHECK(false);
+    break;
+  }
+  CHECK(simulation.holder->jobs().empty());
+}
+
 // Guards against invariants that are violated only by a combination of faults.
 TEST_CASE("no task runs twice, out of order or beyond capacity under random faults") {
-  for (unsigned seed = 1; seed <= 200; ++seed) {
-    CAPTURE(seed);
-    std::mt19937 random(seed);
-    const auto draw = [&](int most) {
-      return std::uniform_int_distribution<int>(0, most - 1)(random);
-    };
-    SchedulerSimulation simulation({.upstreams = 5, .seed = seed});
-    simulation.lost_answer_share = 0.1;
-    simulation.delayed_order_share = 0.05;
-    std::int64_t start_time = 2;
-    for (int round = 0; round < 60; ++round) {
-      StepSpec second = Step(1 + draw(4), 500 + draw(3000));
-      second.depends = {0};
-      simulation.Submit(simulation.Spec("job" + std::to_string(round),
-                                        {Step(1 + draw(6), 500 + draw(2000)), second}),
-                        test_policy);
-      FakeUpstream& upstream = *simulation.upstreams[draw(5)];
-      switch (draw(8)) {
-        case 0:
-          upstream.reachable = !upstream.reachable;
-          break;
-        case 1:
-          upstream.Restart(simulation.now, start_time++);
-          break;
-        case 2:
-          simulation.store_up = !simulation.store_up;
-          break;
-        case 3:
-          if (simulation.store_up) {
-            simulation.StartNewHolder();
-            if (draw(2) == 0) simulation.old_holder.reset();
-            for (const auto& each : simulation.upstreams)
-              each->reachable_by_old_holder = draw(2) == 0;
-          }
-          break;
-        default:
-          break;
-      }
-      simulation.Run(Milliseconds(100 + draw(900)));
-    }
-    simulation.store_up = true;
-    simulation.lost_answer_share = 0;
-    simulation.delayed_order_share = 0;
-    for (const auto& upstream : simulation.upstreams) upstream->reachable = true;
-    simulation.Run(Milliseconds(40000));
-    for (const Violation& violation : simulation.violations) {
-      CAPTURE(violation.what, violation.at.count());
-      CHECK(false);
-      break;
-    }
-    CHECK(simulation.holder->jobs().empty());
+  for (unsigned seed = 1; seed <= 200; ++seed) PlayRandomFaults(seed, 500);
+}
+
+// Guards against the same when ended runs don't fit in one run list.
+TEST_CASE("random faults with run lists that are too short for all ended runs") {
+  for (const std::size_t listed_ends : {1, 2, 5}) {
+    for (unsigned seed = 1; seed <= 50; ++seed) PlayRandomFaults(seed, listed_ends);
   }
 }
 
