Keep no more failed jobs than the limit of a streak

Cause: an upstream on which everything fails remembered the job of every failed trial until a success.

Change: nothing is counted beyond the limit, where the upstream is suspect already.

Measured: the six test programs around it pass (failing_tasks_test, ended_runs_list_test, pending_jobs_test, upstream_incarnation_test, job_scheduler_test, platform_wire_test).

Conclusion: no change of a decision.

--- a/src/upstream_session.cc
+++ b/src/upstream_session.cc
@@ -53,9 +53,11 @@
 }
 
 void UpstreamSession::CountFailure(const JobId& job, bool step_succeeds, Milliseconds now) {
+  if (IsSuspect()) return;
   const bool first_of_job = failed_jobs.insert(job).second;
   if (!first_of_job && !step_succeeds) return;
-  if (++failed_streak == config::kFailedStreakLimit) suspect_since = now;
+  ++failed_streak;
+  if (IsSuspect()) suspect_since = now;
 }
 
 void UpstreamSession::ForgetFailures() {
--- a/src/upstream_session.h
+++ b/src/upstream_session.h
@@ -156,7 +156,8 @@
   Milliseconds last_answer{0};
   int unanswered = 0;           ///< Consecutive orders without an answer.
   Milliseconds avoid_until{0};  ///< No task is placed here before this time.
-  /// Failed and stalled runs since the last one that succeeded, see CountFailure.
+  /// Failed and stalled runs since the last one that succeeded, up to kFailedStreakLimit; see
+  /// CountFailure.
   int failed_streak = 0;
   std::set<JobId> failed_jobs;     ///< Jobs of these runs.
   Milliseconds suspect_since{0};   ///< When `failed_streak` reached its limit.
