Reserve the whole upstream for a run with unknown requirements

Evidence: upstream_incarnation_test "a run of an ended job takes the whole upstream, also before that is described" failed before (capacity exceeded) and passes now.

--- a/src/job_scheduler_run_lists.cc
+++ b/src/job_scheduler_run_lists.cc
@@ -211,8 +211,9 @@
     hosted.target_latency = spec.target_latency;
   } else {
     // The job is unknown, and so are the run's requirements: reserve the whole upstream until the
-    // run has been stopped.
+    // run has been stopped. The registry may describe its capacity only later.
     hosted.reserved = session->entry.capacity;
+    hosted.needs_known = false;
   }
   LogEvent(Event::kTaskAdopted, {RequestField(row.task.job.str()),
                                  {"task", row.task.str()},
--- a/src/upstream_session.cc
+++ b/src/upstream_session.cc
@@ -31,6 +31,7 @@
   m_used = sign > 0 ? m_used + run.reserved : m_used - run.reserved;
   if (run.target_latency > Milliseconds{0}) m_latency_sensitive += sign;
   if (run.best_effort) m_best_effort += sign;
+  if (!run.needs_known) m_needs_unknown += sign;
 }
 
 HostedRun& HostedRuns::Put(const TaskKey& task, const HostedRun& run) {
@@ -49,7 +50,10 @@
 Capacity UpstreamSession::Free() const {
   Capacity free = entry.capacity - hosted.used();
   for (const auto& [task, capacity] : held) free = free - capacity;
-  return free;
+  if (!hosted.any_needs_unknown()) return free;
+  return {.cpu_millicores = std::min(free.cpu_millicores, 0),
+          .memory_mb = std::min(free.memory_mb, 0),
+          .gpus = std::min(free.gpus, 0)};
 }
 
 void UpstreamSession::CountFailure(const JobId& job, bool step_succeeds, Milliseconds now) {
--- a/src/upstream_session.h
+++ b/src/upstream_session.h
@@ -23,6 +23,7 @@
 struct HostedRun {
   std::uint64_t run = 0;
   Capacity reserved;
+  bool needs_known = true;  ///< Otherwise it takes the whole upstream, whatever its capacity.
   HostedState state = HostedState::kStarting;
   Milliseconds ordered_at{0};
   Milliseconds confirmed_at{0};  ///< When the start was confirmed by an answer or a run list.
@@ -66,6 +67,7 @@
   const Capacity& used() const { return m_used; }
   bool any_latency_sensitive() const { return m_latency_sensitive > 0; }
   bool any_best_effort() const { return m_best_effort > 0; }
+  bool any_needs_unknown() const { return m_needs_unknown > 0; }
 
  private:
   void Count(const HostedRun& run, int sign);
@@ -74,6 +76,7 @@
   Capacity m_used;
   int m_latency_sensitive = 0;
   int m_best_effort = 0;
+  int m_needs_unknown = 0;
 };
 
 /// Bounds on a remote clock that was read in one answer and may run up to 2 % slow.
--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -306,6 +306,7 @@
   }
 
   bool store_up = true;
+  bool registry_up = true;
   bool may_extend = true;
   double lost_answer_share = 0;    ///< Share of orders that are executed but not answered.
   double delayed_order_share = 0;  ///< Share of orders that are executed seconds later.
@@ -347,6 +348,7 @@
   }
 
   void PublishRegistry() {
+    if (!registry_up) return;
     std::vector<UpstreamEntry> entries;
     for (const auto& upstream : upstreams) {
       if (upstream->IsListed(now)) entries.push_back(upstream->entry);
--- a/tests/upstream_incarnation_test.cc
+++ b/tests/upstream_incarnation_test.cc
@@ -83,6 +83,32 @@
   CHECK(from.running.size() == 1);
 }
 
+// Guards against placing tasks beside a run whose requirements aren't known, because its job has
+// ended, when a new holder reads the upstream's run list before its registry entry.
+TEST_CASE("a run of an ended job takes the whole upstream, also before that is described") {
+  SchedulerSimulation simulation({.upstreams = 1});
+  FakeUpstream& upstream = *simulation.upstreams[0];
+  upstream.stop_time = Milliseconds(1500);
+  simulation.task_duration = Milliseconds(60000);
+  simulation.Submit(simulation.Spec("cancelled", {Step(1, 6000)}), test_policy);
+  REQUIRE(simulation.RunUntil([&] { return simulation.starts == 1; }, Milliseconds(2000)));
+  simulation.Run(Milliseconds(300));
+  upstream.reachable = false;
+  simulation.holder->Cancel(JobId("cancelled"), simulation.now);
+  simulation.Run(Milliseconds(100));
+  simulation.registry_up = false;
+  simulation.StartNewHolder();
+  simulation.old_holder.reset();
+  upstream.reachable = true;
+  simulation.Run(Milliseconds(200));
+  simulation.registry_up = true;
+  simulation.Submit(simulation.Spec("job", {Step(1, 6000)}), test_policy);
+  simulation.Run(Milliseconds(1000));
+  CHECK(simulation.violations.empty());
+  simulation.Run(Milliseconds(2000));
+  CHECK(simulation.RunsOf(Key("job", 0, 0)) == 1);
+}
+
 // Guards against an upstream that stays out of use because the registry describes it later.
 TEST_CASE("a new incarnation is used once the registry describes it") {
   SchedulerSimulation simulation({.upstreams = 1, .registry_interval = Milliseconds(1000)});
