Log reads of the operators' topic that contradict the position

What separates the hypotheses of a 404 from an outdated configuration wasn't logged: an answer without records left no line, and an unroutable request showed neither the age of the view nor its position in the log. No logic changes.

--- a/src/events.cc
+++ b/src/events.cc
@@ -26,6 +26,7 @@
       {Event::kSnapshotTaken, "snapshot-taken", EventLevel::kInfo},
       {Event::kSnapshotRestored, "snapshot-restored", EventLevel::kInfo},
       {Event::kInstanceListStale, "instance-list-stale", EventLevel::kWarning},
+      {Event::kTopicReadInconsistent, "topic-read-inconsistent", EventLevel::kWarning},
       {Event::kRecordAccepted, "record-accepted", EventLevel::kDebug},
       {Event::kRecordRejected, "record-rejected", EventLevel::kInfo},
       {Event::kConfigInForce, "config-in-force", EventLevel::kInfo},
--- a/src/events.h
+++ b/src/events.h
@@ -41,6 +41,7 @@
   kSnapshotTaken = 206,
   kSnapshotRestored = 207,
   kInstanceListStale = 208,
+  kTopicReadInconsistent = 209,
   // Fleet records.
   kRecordAccepted = 300,
   kRecordRejected = 301,
--- a/src/job_node.cc
+++ b/src/job_node.cc
@@ -60,6 +60,13 @@
          m_clock->Now() <= *current_at + m_options.config_bound;
 }
 
+JobNode::CatalogReadState JobNode::catalog_read_state() const {
+  const auto current_at = m_operators.current_at();
+  return {.age = current_at ? m_clock->Now() - *current_at : Milliseconds(-1),
+          .offset = m_operators.offset(),
+          .log_end = m_operators.log_end()};
+}
+
 void JobNode::OnCatalog(std::function<void(const FleetCatalog&)> callback) {
   m_catalog_callbacks.push_back(std::move(callback));
 }
@@ -185,9 +192,17 @@
 void JobNode::PollFollowers(Milliseconds now) {
   if (const auto call = m_operators.TakeCall(now)) {
     const Milliseconds timeout(config::kConfigWaitMs + config::kStoreTimeoutMs / 2);
-    CallStore(*call, timeout, [this](const StoreReply& reply) {
+    CallStore(*call, timeout, [this, sent_at = now](const StoreReply& reply) {
       const WorkTimes::Scope scope(&m_work, m_clock, WorkPart::kConfiguration);
-      if (m_operators.OnReply(reply, m_clock->Now())) ApplyOperatorRecords();
+      const bool changed = m_operators.OnReply(reply, m_clock->Now());
+      const bool unread = m_operators.log_end() != m_operators.offset();
+      if (reply.status == StoreStatus::kOk && reply.records.empty() && unread) {
+        LogEvent(Event::kTopicReadInconsistent, {{"topic", m_options.names.operators.topic},
+                                                 {"offset", m_operators.offset()},
+                                                 {"log_end", m_operators.log_end()},
+                                                 {"took_ms", m_clock->Now() - sent_at}});
+      }
+      if (changed) ApplyOperatorRecords();
       ScheduleTick(Milliseconds{0});
     });
   }
--- a/src/job_node.h
+++ b/src/job_node.h
@@ -89,6 +89,14 @@
   /// queue that the catalog doesn't have may exist.
   bool IsCatalogCurrent() const;
 
+  /// Where the view of the operators' topic stands, for logs.
+  struct CatalogReadState {
+    Milliseconds age{-1};  ///< Time since the catalog was certainly current; -1: never.
+    std::uint64_t offset = 0;
+    std::uint64_t log_end = 0;
+  };
+  CatalogReadState catalog_read_state() const;
+
   /// Called with each new configuration.
   void OnCatalog(std::function<void(const FleetCatalog&)> callback);
 
--- a/src/keyed_follower.cc
+++ b/src/keyed_follower.cc
@@ -43,6 +43,7 @@
     m_next = now + Milliseconds(config::kStoreRetryMs);
     return false;
   }
+  m_log_end = reply.end;
   return m_loading ? OnPage(reply, now) : OnChanges(reply, now);
 }
 
--- a/src/keyed_follower.h
+++ b/src/keyed_follower.h
@@ -36,6 +36,10 @@
   const std::map<std::string, std::string>& records() const { return m_records; }
   /// @returns the latest time at which records() was certainly complete, or no value.
   std::optional<Milliseconds> current_at() const { return m_current_at; }
+  /// @returns the offset that the next incremental read begins at.
+  std::uint64_t offset() const { return m_offset; }
+  /// @returns the end of the log in the latest answer.
+  std::uint64_t log_end() const { return m_log_end; }
   Milliseconds NextDue() const { return m_in_flight ? Milliseconds::max() : m_next; }
 
  private:
@@ -52,6 +56,7 @@
   /// Log end when the first page was read; changes are read from there.
   std::optional<std::uint64_t> m_first_page_end;
   std::uint64_t m_offset = 0;
+  std::uint64_t m_log_end = 0;
   Milliseconds m_next{0};
   Milliseconds m_sent_at{0};
   Milliseconds m_first_page_sent_at{0};
