Add failing tests of answers from an outdated configuration

An instance takes a read that waited without a change for proof that there was none, ignores the log's end in answers without records, accepts full reads that lack pages and answers to reads from before a restart, and answers 404 without asking the store, from unreadable configurations too, and below a known queue without any check.

--- /dev/null
+++ b/tests/config_currency_test.cc
@@ -0,0 +1,79 @@
+/// @file
+/// What an instance knows about the age of its configuration, and what callers get.
+#include <catch2/catch.hpp>
+
+#include "keyed_follower.h"
+
+namespace endivewood::testing {
+namespace {
+
+constexpr Milliseconds kWait{1200};
+constexpr std::uint64_t kEnd = 4;
+
+StoreReply Unchanged() { return {.status = StoreStatus::kOk, .end = kEnd}; }
+
+/// @returns a follower that has read all records at 10 ms, up to offset kEnd.
+KeyedFollower LoadedFollower() {
+  KeyedFollower follower({.partition = {"t", 0}, .wait = kWait});
+  follower.TakeCall(Milliseconds(10));
+  StoreReply page = Unchanged();
+  page.records = {{.key = "config", .value = "1"}};
+  follower.OnReply(page, Milliseconds(50));
+  return follower;
+}
+
+// Guards against a read whose wait missed a change and that is taken for proof that there was none.
+TEST_CASE("a read without records shows the state at its start and not at the end of its wait") {
+  KeyedFollower follower = LoadedFollower();
+  follower.TakeCall(Milliseconds(100));
+  follower.OnReply(Unchanged(), Milliseconds(1310));
+  CHECK(follower.current_at() == Milliseconds(100));
+}
+
+// Guards against a view that counts as current although the answer says that there are records.
+TEST_CASE("a read without records doesn't make a view current that ends before the log") {
+  KeyedFollower follower = LoadedFollower();
+  follower.TakeCall(Milliseconds(100));
+  StoreReply reply = Unchanged();
+  reply.end = kEnd + 1;
+  follower.OnReply(reply, Milliseconds(1310));
+  CHECK(follower.current_at() == Milliseconds(10));
+}
+
+// Guards against an answer from before the last one, and against reads beyond the end of a log.
+TEST_CASE("an answer from a log that ends before the position doesn't make a view current") {
+  KeyedFollower follower = LoadedFollower();
+  follower.TakeCall(Milliseconds(100));
+  StoreReply reply = Unchanged();
+  reply.end = kEnd - 1;
+  follower.OnReply(reply, Milliseconds(1310));
+  CHECK(follower.current_at() == Milliseconds(10));
+}
+
+// Guards against a full read that ends at one of its pages and hides the records of the others.
+TEST_CASE("a full read isn't complete while the log service says that there are more pages") {
+  KeyedFollower follower({.partition = {"t", 0}, .wait = kWait});
+  follower.TakeCall(Milliseconds(10));
+  StoreReply page = Unchanged();
+  page.more = true;
+  follower.OnReply(page, Milliseconds(20));
+  CHECK_FALSE(follower.loaded());
+  CHECK_FALSE(follower.current_at());
+}
+
+// Guards against a list of changes that is taken for the list of all records.
+TEST_CASE("the answer to a read from before a restart isn't taken for a full read") {
+  KeyedFollower follower = LoadedFollower();
+  follower.TakeCall(Milliseconds(100));
+  follower.Restart();
+  StoreReply changes{.status = StoreStatus::kOk, .end = kEnd + 1};
+  changes.records = {{.key = "other", .value = "1"}};
+  follower.OnReply(changes, Milliseconds(200));
+  CHECK_FALSE(follower.loaded());
+  const auto next = follower.TakeCall(Milliseconds(1000));
+  REQUIRE(next);
+  CHECK(std::holds_alternative<ReadNewest>(*next));
+}
+
+}  // namespace
+}  // namespace endivewood::testing
--- a/tests/platform_wire_test.cc
+++ b/tests/platform_wire_test.cc
@@ -93,6 +93,21 @@
   CHECK(std::holds_alternative<NodeCall>(DecodeCallerRequest(known, &*catalog, false)));
 }
 
+// Guards against a 404 for a queue whose prefix is longer than that of a known queue.
+TEST_CASE("a path below a known queue is refused as unavailable while a longer prefix may exist") {
+  const auto catalog = DecodeCatalog(kConfig);
+  REQUIRE(catalog);
+  const auto status = [&](const HttpRequest& request, bool current) {
+    return std::get<HttpReply>(DecodeCallerRequest(request, &*catalog, current)).status;
+  };
+  const HttpRequest list = Request("GET", "/a/new/");
+  CHECK(status(list, false) == 503);
+  CHECK(status(list, true) == 404);
+  const HttpRequest submission = Request("POST", "/a/new/0123456789abcdef");
+  CHECK(status(submission, false) == 503);
+  CHECK(status(submission, true) == 404);
+}
+
 // Guards against one malformed route making the whole configuration unusable.
 TEST_CASE("a malformed route is skipped and the rest of the configuration is used") {
   const auto catalog = DecodeCatalog(kConfig);
