Take a read of the configuration as current as of its start

Callers got 404 for queues of versions that had been acknowledged 3 s before (CONFIG, once in the users' record). An answer without records counted as proof that nothing was written until the end of its wait, 1.2 s after the read began, and the log's end that comes with it was ignored. In our trials the log service then brought the record at the end of the wait, so that this is the cause of the users' record is suspected, not shown.

A view is now current as of the start of the latest read that reached the log's end; an answer whose log ends before what has been read starts a full read.

--- a/src/keyed_follower.cc
+++ b/src/keyed_follower.cc
@@ -44,7 +44,14 @@
     return false;
   }
   m_log_end = reply.end;
-  return m_loading ? OnPage(reply, now) : OnChanges(reply, now);
+  if (m_loading) return OnPage(reply, now);
+  if (reply.end < m_offset + reply.records.size()) {
+    // The log can't end before what has been read from it.
+    Reload();
+    m_next = now + Milliseconds(config::kStoreRetryMs);
+    return false;
+  }
+  return OnChanges(reply, now);
 }
 
 bool KeyedFollower::OnPage(const StoreReply& reply, Milliseconds now) {
@@ -75,9 +82,7 @@
       m_records[record.key] = record.value;
     }
   }
-  // The log service holds a read without records until its wait is over.
-  if (reply.records.empty()) m_current_at = std::min(now, m_sent_at + m_options.wait);
-  if (!reply.records.empty() && m_offset >= reply.end) m_current_at = m_sent_at;
+  if (m_offset >= reply.end) m_current_at = m_sent_at;
   m_next = std::max(now, m_sent_at + m_options.min_interval);
   return !reply.records.empty();
 }
--- a/src/keyed_follower.h
+++ b/src/keyed_follower.h
@@ -34,7 +34,8 @@
   /// @returns whether a full read has been completed.
   bool loaded() const { return m_loaded; }
   const std::map<std::string, std::string>& records() const { return m_records; }
-  /// @returns the latest time at which records() was certainly complete, or no value.
+  /// @returns a time at which records() was certainly complete, or no value: the start of the
+  /// latest read that reached the log's end. A read that waited can have missed a change.
   std::optional<Milliseconds> current_at() const { return m_current_at; }
   /// @returns the offset that the next incremental read begins at.
   std::uint64_t offset() const { return m_offset; }
