Ignore the answer to a read from before a restart of the follower

A holder that begins its first term anew reads the whole registry; the answer to a read of changes that was still in flight was taken for the first and last page, so that only the upstreams of those changes were known until the others wrote their next entry.

A new full read makes the read in flight obsolete. The case in config_currency_test failed before and passes now.

--- a/src/keyed_follower.cc
+++ b/src/keyed_follower.cc
@@ -12,6 +12,7 @@
 std::optional<StoreCall> KeyedFollower::TakeCall(Milliseconds now) {
   if (m_in_flight || now < m_next) return std::nullopt;
   m_in_flight = true;
+  m_obsolete = false;
   m_sent_at = now;
   if (m_loading && m_after_key.empty()) m_first_page_sent_at = now;
   if (m_loading) return ReadNewest{.partition = m_options.partition, .after_key = m_after_key};
@@ -24,6 +25,7 @@
   m_first_page_end.reset();
   m_loading_records.clear();
   m_next = Milliseconds{0};
+  m_obsolete = m_in_flight;
 }
 
 void KeyedFollower::Restart() {
@@ -35,6 +37,7 @@
 
 bool KeyedFollower::OnReply(const StoreReply& reply, Milliseconds now) {
   m_in_flight = false;
+  if (m_obsolete) return false;
   if (reply.status == StoreStatus::kExpired) {
     Reload();
     return false;
--- a/src/keyed_follower.h
+++ b/src/keyed_follower.h
@@ -53,6 +53,7 @@
   bool m_loaded = false;
   bool m_loading = true;
   bool m_in_flight = false;
+  bool m_obsolete = false;  ///< A new full read was started while a read was in flight.
   std::string m_after_key;
   /// Log end when the first page was read; changes are read from there.
   std::optional<std::uint64_t> m_first_page_end;
