Complete no list whose next page can't be asked for

An answer that announces more pages and has no last key was taken for the last page: a follower then lacked records, and a new holder of a partition lacked jobs, which it would have answered as unknown.

The page, or the whole list of the follower, is read again after the usual delay.

--- a/src/keyed_follower.cc
+++ b/src/keyed_follower.cc
@@ -58,11 +58,17 @@
 }
 
 bool KeyedFollower::OnPage(const StoreReply& reply, Milliseconds now) {
+  if (reply.more && (reply.records.empty() || reply.records.back().key == m_after_key)) {
+    // The next page can't be asked for, and the pages so far aren't all records.
+    Reload();
+    m_next = now + Milliseconds(config::kStoreRetryMs);
+    return false;
+  }
   // The pages aren't one consistent snapshot, so changes are read from the first page's end offset.
   if (!m_first_page_end) m_first_page_end = reply.end;
   for (const KeyedRecord& record : reply.records) m_loading_records[record.key] = record.value;
   m_next = now;
-  if (reply.more && !reply.records.empty()) {
+  if (reply.more) {
     m_after_key = reply.records.back().key;
     return false;
   }
--- a/src/partition_term.cc
+++ b/src/partition_term.cc
@@ -89,8 +89,13 @@
                                         {"took_ms", now - m_started}});
     return;
   }
+  if (reply.more && (reply.records.empty() || reply.records.back().key == m_after_key)) {
+    // The next page can't be asked for, and jobs would be missing without it.
+    m_retry_at = now + Milliseconds(config::kStoreRetryMs);
+    return;
+  }
   for (const KeyedRecord& record : reply.records) m_scheduler->Restore(record);
-  if (reply.more && !reply.records.empty()) {
+  if (reply.more) {
     m_after_key = reply.records.back().key;
     return;
   }
--- a/tests/partition_term_test.cc
+++ b/tests/partition_term_test.cc
@@ -41,6 +41,25 @@
       .id = JobId(id), .queue = QueueName("q"), .service = test_service, .steps = {Step(1, 100)}};
 }
 
+// Guards against accepted jobs that are answered as unknown because a page of them wasn't read.
+TEST_CASE("a term isn't active while the log service says that there are more pages") {
+  SilenceEvents();
+  PartitionTerm term(OptionsOf(7), kNow);
+  term.TakeCall(kNow);
+  term.OnReply({.status = StoreStatus::kOk}, kNow, Milliseconds{0});
+  term.TakeCall(kNow);
+  StoreReply page{.status = StoreStatus::kOk};
+  page.more = true;
+  term.OnReply(page, kNow, Milliseconds{0});
+  CHECK_FALSE(term.active());
+  const Milliseconds later = kNow + Milliseconds(config::kStoreRetryMs);
+  const auto again = term.TakeCall(later);
+  REQUIRE(again);
+  CHECK(std::holds_alternative<ReadNewest>(*again));
+  term.OnReply({.status = StoreStatus::kOk}, later, Milliseconds{0});
+  CHECK(term.active());
+}
+
 // Guards against an append that the log service takes for a repeat of an earlier holder's append,
 // and acknowledges without storing.
 TEST_CASE("no two terms use one sequence number") {
