Ask the store before a queue is answered as unknown

The answer rested on what the instance believed about the age of its view, a time derived from earlier reads; every wrong belief, of whatever cause, became a wrong 404. A path below a known queue, which may belong to a queue with a longer prefix, and a queue of a configuration that can't be read were answered 404 without any check.

An unknown queue is now answered 404 only if a read that began after the request shows that the newest configuration is in force and doesn't have it; requests that wait share one read, which doesn't wait for a change. Otherwise, after at most 1 s, and at once while the store is known to be unreachable, it is 503 with Retry-After. A queue that was just added is served instead of refused. The time limit of a configuration, and the setting that it came from, aren't used any more.

--- a/src/config.h
+++ b/src/config.h
@@ -569,6 +569,14 @@
 /// take effect.
 inline constexpr std::int64_t kConfigWaitMs = 1200;
 
+/// Minimum interval in milliseconds of the reads that check whether the configuration is current:
+/// all requests that wait meanwhile share one.
+inline constexpr std::int64_t kConfigCheckIntervalMs = 60;
+
+/// Milliseconds for which a request for an unknown queue waits until a read has shown that its
+/// instance knows the newest configuration. After that the caller is asked to retry.
+inline constexpr std::int64_t kConfigCheckTimeoutMs = 1000;
+
 /// Interval in milliseconds at which the list of partition owners is read when nothing requires it
 /// sooner.
 inline constexpr std::int64_t kOwnersIntervalMs = 3000;
--- a/src/events.cc
+++ b/src/events.cc
@@ -27,6 +27,7 @@
       {Event::kSnapshotRestored, "snapshot-restored", EventLevel::kInfo},
       {Event::kInstanceListStale, "instance-list-stale", EventLevel::kWarning},
       {Event::kTopicReadInconsistent, "topic-read-inconsistent", EventLevel::kWarning},
+      {Event::kConfigOutdated, "config-outdated", EventLevel::kWarning},
       {Event::kRecordAccepted, "record-accepted", EventLevel::kDebug},
       {Event::kRecordRejected, "record-rejected", EventLevel::kInfo},
       {Event::kConfigInForce, "config-in-force", EventLevel::kInfo},
--- a/src/events.h
+++ b/src/events.h
@@ -42,6 +42,7 @@
   kSnapshotRestored = 207,
   kInstanceListStale = 208,
   kTopicReadInconsistent = 209,
+  kConfigOutdated = 210,
   // Fleet records.
   kRecordAccepted = 300,
   kRecordRejected = 301,
--- a/src/job_node.cc
+++ b/src/job_node.cc
@@ -54,10 +54,41 @@
   ScheduleTick(Milliseconds{0});
 }
 
-bool JobNode::IsCatalogCurrent() const {
+/// A caller's request that waits until the catalog is known to be the newest.
+struct JobNode::Confirmation {
+  Milliseconds since{0};
+  std::function<void(bool)> done;
+};
+
+void JobNode::ConfirmCatalog(Milliseconds timeout, std::function<void(bool)> done) {
+  if (m_catalog == nullptr || m_store_unreachable) {
+    done(false);
+    return;
+  }
+  auto confirmation = std::make_shared<Confirmation>();
+  confirmation->since = m_clock->Now();
+  confirmation->done = std::move(done);
+  m_confirmations.push_back(confirmation);
+  m_loop->After(timeout, [this, confirmation] {
+    if (std::erase(m_confirmations, confirmation) > 0) confirmation->done(false);
+  });
+  m_operators.RequestCheck();
+  ScheduleTick(Milliseconds{0});
+}
+
+void JobNode::FinishConfirmations() {
+  if (m_confirmations.empty()) return;
   const auto current_at = m_operators.current_at();
-  return m_catalog != nullptr && current_at &&
-         m_clock->Now() <= *current_at + m_options.config_bound;
+  std::vector<std::shared_ptr<Confirmation>> finished;
+  std::erase_if(m_confirmations, [&](const std::shared_ptr<Confirmation>& each) {
+    const bool confirmed = current_at && *current_at >= each->since;
+    if (confirmed) finished.push_back(each);
+    return confirmed;
+  });
+  if (!m_confirmations.empty()) m_operators.RequestCheck();
+  for (const auto& each : finished) {
+    RunGuarded("confirmation", [&] { each->done(m_newest_config_applied); });
+  }
 }
 
 JobNode::CatalogReadState JobNode::catalog_read_state() const {
@@ -193,19 +224,15 @@
   if (const auto call = m_operators.TakeCall(now)) {
     const Milliseconds timeout(config::kConfigWaitMs + config::kStoreTimeoutMs / 2);
     CallStore(*call, timeout, [this, sent_at = now](const StoreReply& reply) {
-      const WorkTimes::Scope scope(&m_work, m_clock, WorkPart::kConfiguration);
-      const bool changed = m_operators.OnReply(reply, m_clock->Now());
-      const bool unread = m_operators.log_end() != m_operators.offset();
-      if (reply.status == StoreStatus::kOk && reply.records.empty() && unread) {
-        LogEvent(Event::kTopicReadInconsistent, {{"topic", m_options.names.operators.topic},
-                                                 {"offset", m_operators.offset()},
-                                                 {"log_end", m_operators.log_end()},
-                                                 {"took_ms", m_clock->Now() - sent_at}});
-      }
-      if (changed) ApplyOperatorRecords();
-      ScheduleTick(Milliseconds{0});
+      OnOperatorRecords(reply, sent_at, m_operators.OnReply(reply, m_clock->Now()));
     });
   }
+  if (const auto check = m_operators.TakeCheck(now)) {
+    CallStore(*check, Milliseconds(config::kStoreTimeoutMs),
+              [this, sent_at = now](const StoreReply& reply) {
+                OnOperatorRecords(reply, sent_at, m_operators.OnCheckReply(reply, m_clock->Now()));
+              });
+  }
   if (m_terms.empty()) return;
   if (const auto call = m_registry.TakeCall(now)) {
     CallStore(*call, Milliseconds(config::kStoreTimeoutMs), [this](const StoreReply& reply) {
@@ -216,6 +243,20 @@
   }
 }
 
+void JobNode::OnOperatorRecords(const StoreReply& reply, Milliseconds sent_at, bool changed) {
+  const WorkTimes::Scope scope(&m_work, m_clock, WorkPart::kConfiguration);
+  const bool unread = m_operators.log_end() != m_operators.offset();
+  if (reply.status == StoreStatus::kOk && reply.records.empty() && unread) {
+    LogEvent(Event::kTopicReadInconsistent, {{"topic", m_options.names.operators.topic},
+                                             {"offset", m_operators.offset()},
+                                             {"log_end", m_operators.log_end()},
+                                             {"took_ms", m_clock->Now() - sent_at}});
+  }
+  if (changed) ApplyOperatorRecords();
+  FinishConfirmations();
+  ScheduleTick(Milliseconds{0});
+}
+
 /// @returns the holding capacities of the other members that hold partitions.
 std::vector<int> JobNode::OtherHolders() const {
   std::vector<int> others;
@@ -436,6 +477,7 @@
 
 void JobNode::ApplyOperatorRecords() {
   std::vector<MaintenanceWave> waves;
+  m_newest_config_applied = false;
   for (const auto& [key, value] : m_operators.records()) {
     if (key == m_options.names.config_key) {
       auto catalog = m_callbacks.decode_catalog(value);
@@ -443,7 +485,12 @@
         LogEvent(Event::kMalformedRecord, {{"key", key}});
         continue;
       }
-      // An older version never replaces the active one.
+      m_newest_config_applied = !m_catalog || catalog->version >= m_catalog->version;
+      if (!m_newest_config_applied) {
+        // An older version never replaces the active one.
+        LogEvent(Event::kConfigOutdated,
+                 {{"version", catalog->version}, {"active_version", m_catalog->version}});
+      }
       if (m_catalog && catalog->version <= m_catalog->version) continue;
       m_catalog = std::make_shared<const FleetCatalog>(std::move(*catalog));
       LogEvent(Event::kConfigInForce, {{"version", m_catalog->version},
--- a/src/job_node.h
+++ b/src/job_node.h
@@ -63,7 +63,6 @@
   Milliseconds lease{4000};
   Milliseconds max_lease{10000};
   Milliseconds drain_notice{2000};
-  Milliseconds config_bound{2000};    ///< Time in which a configuration must be in force.
   Milliseconds min_holder_gap{3000};  ///< Minimum time between two holders' orders to one instance.
   MaintenancePlannerOptions planner;
   PlatformNames names;
@@ -85,9 +84,10 @@
   /// @returns the active configuration, or nullptr before the first has been read.
   std::shared_ptr<const FleetCatalog> catalog() const { return m_catalog; }
 
-  /// @returns whether every configuration that must be in force by now is known. Without that, a
-  /// queue that the catalog doesn't have may exist.
-  bool IsCatalogCurrent() const;
+  /// Calls `done` once with whether the catalog was the newest at the time of this call, as shown
+  /// by a read of the store that began later; with false when that isn't known after `timeout`, or
+  /// at once when the store is known to be unreachable.
+  void ConfirmCatalog(Milliseconds timeout, std::function<void(bool)> done);
 
   /// Where the view of the operators' topic stands, for logs.
   struct CatalogReadState {
@@ -113,11 +113,14 @@
   std::string Dump() const;
 
  private:
+  struct Confirmation;
   struct Forwarding;
   using Term = std::shared_ptr<PartitionTerm>;
 
   void Tick();
   void ReportDelay(Milliseconds now);
+  void OnOperatorRecords(const StoreReply& reply, Milliseconds sent_at, bool changed);
+  void FinishConfirmations();
   void ScheduleTick(Milliseconds delay);
   void PollFollowers(Milliseconds now);
   GroupMembershipOptions NewMembershipOptions() const;
@@ -182,6 +185,8 @@
   KeyedFollower m_operators;
   KeyedFollower m_registry;
   std::shared_ptr<const FleetCatalog> m_catalog;
+  bool m_newest_config_applied = false;  ///< Whether m_catalog is the newest record that was read.
+  std::vector<std::shared_ptr<Confirmation>> m_confirmations;
   std::vector<std::function<void(const FleetCatalog&)>> m_catalog_callbacks;
   /// A record of the registry; no entry when it names no upstream.
   struct RegistryEntry {
--- a/src/job_node_dump.cc
+++ b/src/job_node_dump.cc
@@ -40,6 +40,9 @@
   }
   const nlohmann::json dump = {{"node", m_options.name},
                                {"config_version", m_catalog ? m_catalog->version : 0},
+                               {"config_age_ms", catalog_read_state().age.count()},
+                               {"config_offset", catalog_read_state().offset},
+                               {"config_log_end", catalog_read_state().log_end},
                                {"ready", IsReady()},
                                {"generation", m_membership.generation()},
                                {"confirmed", m_membership.IsConfirmed(now)},
--- a/src/keyed_follower.cc
+++ b/src/keyed_follower.cc
@@ -10,22 +10,36 @@
 namespace endivewood {
 
 std::optional<StoreCall> KeyedFollower::TakeCall(Milliseconds now) {
-  if (m_in_flight || now < m_next) return std::nullopt;
-  m_in_flight = true;
-  m_obsolete = false;
-  m_sent_at = now;
+  if (m_read || now < m_next) return std::nullopt;
+  m_read = Flight{.from = m_offset, .sent_at = now};
   if (m_loading && m_after_key.empty()) m_first_page_sent_at = now;
   if (m_loading) return ReadNewest{.partition = m_options.partition, .after_key = m_after_key};
   return ReadKeyed{.partition = m_options.partition, .from = m_offset, .wait = m_options.wait};
 }
 
+std::optional<StoreCall> KeyedFollower::TakeCheck(Milliseconds now) {
+  if (m_loading || m_check || now < m_next_check) return std::nullopt;
+  if (!m_check_requested) return std::nullopt;
+  m_check_requested = false;
+  m_check = Flight{.from = m_offset, .sent_at = now};
+  return ReadKeyed{.partition = m_options.partition, .from = m_offset, .wait = Milliseconds{0}};
+}
+
+Milliseconds KeyedFollower::NextDue() const {
+  Milliseconds due = m_read ? Milliseconds::max() : m_next;
+  if (m_loading || m_check) return due;
+  if (m_check_requested) due = std::min(due, m_next_check);
+  return due;
+}
+
 void KeyedFollower::Reload() {
   m_loading = true;
   m_after_key.clear();
   m_first_page_end.reset();
   m_loading_records.clear();
   m_next = Milliseconds{0};
-  m_obsolete = m_in_flight;
+  if (m_read) m_read->obsolete = true;
+  if (m_check) m_check->obsolete = true;
 }
 
 void KeyedFollower::Restart() {
@@ -36,25 +50,39 @@
 }
 
 bool KeyedFollower::OnReply(const StoreReply& reply, Milliseconds now) {
-  m_in_flight = false;
-  if (m_obsolete) return false;
+  const Flight read = *std::exchange(m_read, std::nullopt);
+  m_next = std::max(now, read.sent_at + m_options.min_interval);
+  return OnAnswer(read, reply, now, &m_next);
+}
+
+bool KeyedFollower::OnCheckReply(const StoreReply& reply, Milliseconds now) {
+  const Flight check = *std::exchange(m_check, std::nullopt);
+  m_next_check = check.sent_at + Milliseconds(config::kConfigCheckIntervalMs);
+  return OnAnswer(check, reply, now, &m_next_check);
+}
+
+/// @param next when the next read of this kind is due; set when it has to be later than usual.
+bool KeyedFollower::OnAnswer(const Flight& read, const StoreReply& reply, Milliseconds now,
+                             Milliseconds* next) {
+  if (read.obsolete) return false;
   if (reply.status == StoreStatus::kExpired) {
     Reload();
     return false;
   }
+  const Milliseconds retry_at = now + Milliseconds(config::kStoreRetryMs);
   if (reply.status != StoreStatus::kOk) {
-    m_next = now + Milliseconds(config::kStoreRetryMs);
+    *next = retry_at;
     return false;
   }
   m_log_end = reply.end;
   if (m_loading) return OnPage(reply, now);
-  if (reply.end < m_offset + reply.records.size()) {
+  if (reply.end < read.from + reply.records.size()) {
     // The log can't end before what has been read from it.
     Reload();
-    m_next = now + Milliseconds(config::kStoreRetryMs);
+    m_next = retry_at;
     return false;
   }
-  return OnChanges(reply, now);
+  return OnChanges(read, reply);
 }
 
 bool KeyedFollower::OnPage(const StoreReply& reply, Milliseconds now) {
@@ -82,18 +110,21 @@
   return changed;
 }
 
-bool KeyedFollower::OnChanges(const StoreReply& reply, Milliseconds now) {
-  m_offset += reply.records.size();
-  for (const KeyedRecord& record : reply.records) {
+bool KeyedFollower::OnChanges(const Flight& read, const StoreReply& reply) {
+  // A read and a check that were in flight together bring the same records.
+  const std::uint64_t known = m_offset - read.from;
+  for (std::uint64_t at = known; at < reply.records.size(); ++at) {
+    const KeyedRecord& record = reply.records[at];
     if (record.value.empty()) {
       m_records.erase(record.key);
     } else {
       m_records[record.key] = record.value;
     }
   }
-  if (m_offset >= reply.end) m_current_at = m_sent_at;
-  m_next = std::max(now, m_sent_at + m_options.min_interval);
-  return !reply.records.empty();
+  m_offset = std::max(m_offset, read.from + reply.records.size());
+  if (m_offset >= reply.end)
+    m_current_at = std::max(read.sent_at, m_current_at.value_or(read.sent_at));
+  return reply.records.size() > known;
 }
 
 }  // namespace endivewood
--- a/src/keyed_follower.h
+++ b/src/keyed_follower.h
@@ -21,11 +21,19 @@
  public:
   explicit KeyedFollower(KeyedFollowerOptions options) : m_options(std::move(options)) {}
 
-  /// @returns the call that is due, or no value. At most one call is in flight.
+  /// @returns the read that is due, or no value. At most one is in flight, beside one check.
   std::optional<StoreCall> TakeCall(Milliseconds now);
   /// @returns whether the records changed.
   bool OnReply(const StoreReply& reply, Milliseconds now);
 
+  /// Requests a check: a read that doesn't wait for a change and shows whether the records are
+  /// complete, also while the other read waits.
+  void RequestCheck() { m_check_requested = true; }
+  /// @returns the check that is due, or no value. At most one is in flight.
+  std::optional<StoreCall> TakeCheck(Milliseconds now);
+  /// @returns whether the records changed.
+  bool OnCheckReply(const StoreReply& reply, Milliseconds now);
+
   /// Starts a new full read; records() doesn't change until it is complete.
   void Reload();
   /// Starts a new full read without the present records, which may have been outdated for long.
@@ -41,26 +49,35 @@
   std::uint64_t offset() const { return m_offset; }
   /// @returns the end of the log in the latest answer.
   std::uint64_t log_end() const { return m_log_end; }
-  Milliseconds NextDue() const { return m_in_flight ? Milliseconds::max() : m_next; }
+  Milliseconds NextDue() const;
 
  private:
+  /// A read that has no answer yet.
+  struct Flight {
+    std::uint64_t from = 0;
+    Milliseconds sent_at{0};
+    bool obsolete = false;  ///< A new full read was started since.
+  };
+
+  bool OnAnswer(const Flight& read, const StoreReply& reply, Milliseconds now, Milliseconds* next);
   bool OnPage(const StoreReply& reply, Milliseconds now);
-  bool OnChanges(const StoreReply& reply, Milliseconds now);
+  bool OnChanges(const Flight& read, const StoreReply& reply);
 
   KeyedFollowerOptions m_options;
   std::map<std::string, std::string> m_records;
   std::map<std::string, std::string> m_loading_records;  ///< Records of a full read in progress.
   bool m_loaded = false;
   bool m_loading = true;
-  bool m_in_flight = false;
-  bool m_obsolete = false;  ///< A new full read was started while a read was in flight.
+  std::optional<Flight> m_read;
+  std::optional<Flight> m_check;
+  bool m_check_requested = false;
   std::string m_after_key;
   /// Log end when the first page was read; changes are read from there.
   std::optional<std::uint64_t> m_first_page_end;
   std::uint64_t m_offset = 0;
   std::uint64_t m_log_end = 0;
   Milliseconds m_next{0};
-  Milliseconds m_sent_at{0};
+  Milliseconds m_next_check{0};
   Milliseconds m_first_page_sent_at{0};
   std::optional<Milliseconds> m_current_at;
 };
--- a/tests/config_currency_test.cc
+++ b/tests/config_currency_test.cc
@@ -75,5 +75,27 @@
   CHECK(std::holds_alternative<ReadNewest>(*next));
 }
 
+// Guards against records that are skipped because they were counted twice.
+TEST_CASE("a check that overlaps a waiting read doesn't advance the position twice") {
+  KeyedFollower follower = LoadedFollower();
+  follower.TakeCall(Milliseconds(100));
+  CHECK_FALSE(follower.TakeCheck(Milliseconds(150)));
+  follower.RequestCheck();
+  const auto check = follower.TakeCheck(Milliseconds(200));
+  REQUIRE(check);
+  CHECK(std::get<ReadKeyed>(*check).from == kEnd);
+  CHECK(std::get<ReadKeyed>(*check).wait == Milliseconds(0));
+  StoreReply changes{.status = StoreStatus::kOk, .end = kEnd + 1};
+  changes.records = {{.key = "config", .value = "2"}};
+  CHECK(follower.OnCheckReply(changes, Milliseconds(210)));
+  CHECK(follower.current_at() == Milliseconds(200));
+  CHECK_FALSE(follower.OnReply(changes, Milliseconds(1310)));
+  CHECK(follower.offset() == kEnd + 1);
+  CHECK(follower.current_at() == Milliseconds(200));
+  const auto next = follower.TakeCall(Milliseconds(1310));
+  REQUIRE(next);
+  CHECK(std::get<ReadKeyed>(*next).from == kEnd + 1);
+}
+
 }  // namespace
 }  // namespace endivewood::testing
