Back up a read of the configuration that has no answer

An instance whose connection to the store goes silent learned of no change until its read had timed out, 1.7 s after it began, and until the next one was answered. Found by reading, as a related case of an outdated configuration.

A read without an answer 300 ms after its wait is backed up by one that doesn't wait, on another connection, and again each 300 ms. The new case of config_currency_test fails without the change (no check is due).

--- a/src/config.h
+++ b/src/config.h
@@ -569,6 +569,10 @@
 /// take effect.
 inline constexpr std::int64_t kConfigWaitMs = 1200;
 
+/// Milliseconds beyond its wait without an answer after which a read of the configuration is backed
+/// up by a second one on another connection: a slow store answers within about 300 ms.
+inline constexpr std::int64_t kConfigReadDelayMs = 300;
+
 /// Minimum interval in milliseconds of the reads that check whether the configuration is current:
 /// all requests that wait meanwhile share one.
 inline constexpr std::int64_t kConfigCheckIntervalMs = 60;
--- a/src/keyed_follower.cc
+++ b/src/keyed_follower.cc
@@ -17,10 +17,16 @@
   return ReadKeyed{.partition = m_options.partition, .from = m_offset, .wait = m_options.wait};
 }
 
+Milliseconds KeyedFollower::OverdueAt() const {
+  if (!m_read || m_options.max_delay.count() == 0) return Milliseconds::max();
+  return std::max(m_read->sent_at + m_options.wait, m_check_sent_at) + m_options.max_delay;
+}
+
 std::optional<StoreCall> KeyedFollower::TakeCheck(Milliseconds now) {
   if (m_loading || m_check || now < m_next_check) return std::nullopt;
-  if (!m_check_requested) return std::nullopt;
+  if (!m_check_requested && now < OverdueAt()) return std::nullopt;
   m_check_requested = false;
+  m_check_sent_at = now;
   m_check = Flight{.from = m_offset, .sent_at = now};
   return ReadKeyed{.partition = m_options.partition, .from = m_offset, .wait = Milliseconds{0}};
 }
@@ -29,6 +35,7 @@
   Milliseconds due = m_read ? Milliseconds::max() : m_next;
   if (m_loading || m_check) return due;
   if (m_check_requested) due = std::min(due, m_next_check);
+  due = std::min(due, OverdueAt());
   return due;
 }
 
--- a/src/keyed_follower.h
+++ b/src/keyed_follower.h
@@ -14,6 +14,8 @@
   LogPartition partition;
   Milliseconds wait{0};          ///< How long one read waits for a change.
   Milliseconds min_interval{0};  ///< Minimum time between the starts of two reads.
+  /// Time beyond `wait` without an answer after which a check is due as well; 0: never.
+  Milliseconds max_delay{0};
 };
 
 /// Does no I/O: replies and the time are passed in, calls to make are returned.
@@ -27,7 +29,7 @@
   bool OnReply(const StoreReply& reply, Milliseconds now);
 
   /// Requests a check: a read that doesn't wait for a change and shows whether the records are
-  /// complete, also while the other read waits.
+  /// complete, also while the other read waits or has no answer.
   void RequestCheck() { m_check_requested = true; }
   /// @returns the check that is due, or no value. At most one is in flight.
   std::optional<StoreCall> TakeCheck(Milliseconds now);
@@ -59,6 +61,8 @@
     bool obsolete = false;  ///< A new full read was started since.
   };
 
+  /// @returns when a check is due because the read in flight has no answer.
+  Milliseconds OverdueAt() const;
   bool OnAnswer(const Flight& read, const StoreReply& reply, Milliseconds now, Milliseconds* next);
   bool OnPage(const StoreReply& reply, Milliseconds now);
   bool OnChanges(const Flight& read, const StoreReply& reply);
@@ -71,6 +75,7 @@
   std::optional<Flight> m_read;
   std::optional<Flight> m_check;
   bool m_check_requested = false;
+  Milliseconds m_check_sent_at{0};
   std::string m_after_key;
   /// Log end when the first page was read; changes are read from there.
   std::optional<std::uint64_t> m_first_page_end;
--- a/tests/config_currency_test.cc
+++ b/tests/config_currency_test.cc
@@ -97,5 +97,20 @@
   CHECK(std::get<ReadKeyed>(*next).from == kEnd + 1);
 }
 
+// Guards against an instance that learns nothing while a connection is silent.
+TEST_CASE("a read without an answer is backed up by a check") {
+  KeyedFollower follower({.partition = {"t", 0}, .wait = kWait, .max_delay = Milliseconds(300)});
+  follower.TakeCall(Milliseconds(10));
+  follower.OnReply(Unchanged(), Milliseconds(50));
+  REQUIRE(follower.TakeCall(Milliseconds(100)));
+  CHECK_FALSE(follower.TakeCheck(Milliseconds(1500)));
+  CHECK(follower.NextDue() == Milliseconds(1600));
+  REQUIRE(follower.TakeCheck(Milliseconds(1600)));
+  StoreReply changes{.status = StoreStatus::kOk, .end = kEnd + 1};
+  changes.records = {{.key = "config", .value = "2"}};
+  CHECK(follower.OnCheckReply(changes, Milliseconds(1610)));
+  CHECK(follower.records().at("config") == "2");
+}
+
 }  // namespace
 }  // namespace endivewood::testing
