--- a/src/job_scheduler_upstreams.cc
+++ b/src/job_scheduler_upstreams.cc
@@ -159,7 +159,11 @@
 
 void JobScheduler::HandleLeaseEnd(UpstreamSession* session, Milliseconds now) {
   LogEvent(Event::kUpstreamLeaseEnded, {{"upstream", session->entry.id},
+                                        {"born", session->start_time},
                                         {"runs", session->hosted.size()},
+                                        {"clock", session->clock.LowerBoundAt(now)},
+                                        {"lease_until", session->lease_until},
+                                        {"list_read", session->hosted_complete},
                                         {"silent_ms", now - session->last_answer}});
   while (!session->hosted.empty()) {
     DropRun(session, session->hosted.begin()->first, "lease-ended", now);
@@ -315,6 +319,8 @@
     session->lease_until = std::max(session->lease_until, reply.clock + m_options.lease.count());
     LogEvent(Event::kUpstreamFenced, {{"upstream", order.upstream},
                                       {"epoch", m_options.epoch},
+                                      {"born", reply.start_time},
+                                      {"clock", reply.clock},
                                       {"running", reply.running.size()},
                                       {"ended", reply.ended.size()},
                                       {"more_ended", reply.more_ended}});
