Add failing tests of orders that outlive an incarnation of an upstream

What callers saw: a task ran on two upstreams at once after one of them had started again under its id.

The simulated upstreams now shorten leases, extend them with starts they refuse as old, can be down with their connections open, so that orders reach their next incarnation, and begin with any clock. Answers may take longer.

--- /dev/null
+++ b/tests/former_incarnation_test.cc
@@ -0,0 +1,230 @@
+/// @file
+/// Orders and answers that outlive the incarnation of the upstream for which they were meant.
+#include <catch2/catch.hpp>
+
+#include "scheduler_simulation.h"
+
+namespace endivewood::testing {
+namespace {
+
+constexpr Milliseconds kOutage{500};
+/// Longest lease, by a clock that is 2 % slow, and the time until its end is acted upon.
+constexpr Milliseconds kLongestLease{10500};
+
+/// Two upstreams. A task starts on the first one while that is dark, so that the start reaches its
+/// next incarnation, whose clock is far behind the former one.
+class RestartedUpstream {
+ public:
+  explicit RestartedUpstream(const SchedulerSimulation::Options& options) : simulation(options) {
+    simulation.Run(Milliseconds(9000));
+    simulation.task_duration = Milliseconds(60000);
+    other().refuses_starts = true;
+  }
+
+  FakeUpstream& restarted() { return *simulation.upstreams[0]; }
+  FakeUpstream& other() { return *simulation.upstreams[1]; }
+
+  void StartWhileDark() {
+    restarted().dark = true;
+    simulation.Submit(simulation.Spec("former", {Step(1, 1000)}), test_policy);
+    simulation.Run(kOutage);
+    restarted().Restart(simulation.now, 2);
+  }
+
+  /// @returns whether a task runs on the new incarnation.
+  bool RunOnNewIncarnation() {
+    simulation.Submit(simulation.Spec("job", {Step(1, 1000)}), test_policy);
+    return simulation.RunUntil([&] { return restarted().running.count(job) > 0; },
+                               Milliseconds(4000));
+  }
+
+  void CutOff() {
+    restarted().reachable = false;
+    restarted().reachable_by_old_holder = false;
+    other().refuses_starts = false;
+  }
+
+  /// @returns whether the task runs on the other upstream within `limit`.
+  bool MovesWithin(Milliseconds limit) {
+    return simulation.RunUntil([&] { return other().running.count(job) > 0; }, limit);
+  }
+
+  std::string FirstViolation() const {
+    return simulation.violations.empty() ? "" : simulation.violations.front().what;
+  }
+
+  const TaskKey job = Key("job", 0, 0);
+  SchedulerSimulation simulation;
+};
+
+// Guards against a task that is restarted while its upstream, cut off, has a longer lease than it
+// was given: one from a start for its former incarnation.
+TEST_CASE("a lease from an order for a former incarnation is waited for") {
+  RestartedUpstream test({.upstreams = 2});
+  test.StartWhileDark();
+  REQUIRE(test.RunOnNewIncarnation());
+  test.CutOff();
+  CHECK(test.MovesWithin(kLongestLease));
+  CHECK(test.FirstViolation() == "");
+}
+
+// Guards against the same with a start that is executed seconds after the first run list.
+TEST_CASE("an order for a former incarnation is refused once the new one has answered") {
+  RestartedUpstream test({.upstreams = 2});
+  test.simulation.dark_order_delay = kOutage + Milliseconds(3000);
+  test.StartWhileDark();
+  REQUIRE(test.RunOnNewIncarnation());
+  test.simulation.Run(Milliseconds(3500));
+  test.CutOff();
+  CHECK(test.MovesWithin(Milliseconds(5000)));
+  CHECK(test.FirstViolation() == "");
+}
+
+// Guards against the same after a failover: the former holder hadn't noticed the restart.
+TEST_CASE("a new holder waits for a lease from an order for a former incarnation") {
+  RestartedUpstream test({.upstreams = 2, .registry_interval = Milliseconds(60000)});
+  test.restarted().dark = true;
+  test.simulation.Submit(test.simulation.Spec("job", {Step(1, 1000)}), test_policy);
+  test.simulation.Run(kOutage);
+  test.restarted().Restart(test.simulation.now, 2);
+  test.simulation.Run(Milliseconds(20));
+  REQUIRE(test.restarted().running.count(test.job) == 1);
+  test.CutOff();
+  test.simulation.StartNewHolder(Milliseconds(4200));
+  test.simulation.old_holder.reset();
+  CHECK(test.MovesWithin(kLongestLease));
+  CHECK(test.FirstViolation() == "");
+}
+
+// Guards against the same if the former holder had used the new incarnation.
+TEST_CASE("a new holder waits for a long lease on an incarnation that its predecessor has used") {
+  RestartedUpstream test({.upstreams = 2});
+  test.StartWhileDark();
+  REQUIRE(test.RunOnNewIncarnation());
+  test.CutOff();
+  test.simulation.StartNewHolder(Milliseconds(4200));
+  test.simulation.old_holder.reset();
+  CHECK(test.MovesWithin(kLongestLease));
+  CHECK(test.FirstViolation() == "");
+}
+
+// Guards against waiting so long for an upstream that has been up for a while.
+TEST_CASE("only the usual lease is waited for once orders for a former incarnation have expired") {
+  RestartedUpstream test({.upstreams = 2});
+  test.StartWhileDark();
+  REQUIRE(test.RunOnNewIncarnation());
+  test.simulation.Run(Milliseconds(40000));
+  REQUIRE(test.restarted().running.count(test.job) == 1);
+  test.CutOff();
+  SECTION("by the same holder") {}
+  SECTION("by a new holder") {
+    test.simulation.StartNewHolder(Milliseconds(4200));
+    test.simulation.old_holder.reset();
+  }
+  CHECK(test.MovesWithin(Milliseconds(5000)));
+  CHECK(test.FirstViolation() == "");
+}
+
+// Guards against a clock of the former incarnation that is taken for that of the new one.
+TEST_CASE("a late answer of a former incarnation doesn't change the clock of the new one") {
+  RestartedUpstream test({.upstreams = 2, .registry_interval = Milliseconds(10)});
+  test.simulation.answer_time = Milliseconds(550);
+  test.simulation.Submit(test.simulation.Spec("former", {Step(1, 1000)}), test_policy);
+  REQUIRE(test.simulation.RunUntil([&] { return test.restarted().running.size() == 1; },
+                                   Milliseconds(1000)));
+  test.restarted().Restart(test.simulation.now, 2);
+  test.simulation.Run(Milliseconds(800));
+  REQUIRE(test.RunOnNewIncarnation());
+  test.simulation.Run(Milliseconds(1000));
+  test.CutOff();
+  CHECK(test.MovesWithin(kLongestLease));
+  CHECK(test.FirstViolation() == "");
+}
+
+// Guards against a stop that the former incarnation has confirmed, while the run starts on the new
+// one.
+TEST_CASE("a stop that a former incarnation has confirmed doesn't count for the new one") {
+  RestartedUpstream test({.upstreams = 2, .registry_interval = Milliseconds(10)});
+  test.simulation.delayed_order_share = 1;
+  test.simulation.Submit(test.simulation.Spec("job", {Step(1, 1000)}), test_policy);
+  test.simulation.Run(Milliseconds(50));
+  test.simulation.delayed_order_share = 0;
+  test.simulation.answer_time = Milliseconds(200);
+  // Without an answer to the start, the scheduler stops the run.
+  REQUIRE(test.simulation.RunUntil([&] { return test.restarted().stop_orders == 1; },
+                                   Milliseconds(4000)));
+  test.restarted().Restart(test.simulation.now, 2);
+  test.other().refuses_starts = false;
+  test.simulation.Run(Milliseconds(20000));
+  CHECK(test.simulation.RunsOf(test.job) == 1);
+  CHECK(test.FirstViolation() == "");
+}
+
+/// Plays about 30 s with upstreams that start again and are cut off by turns, also from one holder
+/// only, and with new holders.
+void PlayRestartsAndCuts(unsigned seed) {
+  CAPTURE(seed);
+  std::mt19937 random(seed);
+  const auto draw = [&](int most) {
+    return std::uniform_int_distribution<int>(0, most - 1)(random);
+  };
+  SchedulerSimulation simulation({.upstreams = 5, .seed = seed});
+  simulation.task_duration = Milliseconds(3000);
+  simulation.lost_answer_share = 0.05;
+  std::int64_t start_time = 2;
+  for (int round = 0; round < 60; ++round) {
+    simulation.Submit(
+        simulation.Spec("job" + std::to_string(round), {Step(1 + draw(6), 500 + draw(2000))}),
+        test_policy);
+    simulation.dark_order_delay = Milliseconds(draw(2) * draw(3000));
+    simulation.answer_time = Milliseconds(10 + draw(2) * draw(500));
+    FakeUpstream& upstream = *simulation.upstreams[draw(5)];
+    switch (draw(6)) {
+      case 0:
+        upstream.dark = true;
+        break;
+      case 1:
+      case 2:
+        // Clocks begin anywhere.
+        if (upstream.dark) {
+          upstream.Restart(simulation.now, start_time++, Milliseconds(draw(60000)));
+          upstream.reachable = true;
+        }
+        break;
+      case 3:
+        upstream.reachable = !upstream.reachable;
+        break;
+      case 4:
+        if (draw(4) == 0) {
+          simulation.StartNewHolder();
+          if (draw(2) == 0) simulation.old_holder.reset();
+          for (const auto& each : simulation.upstreams)
+            each->reachable_by_old_holder = draw(2) == 0;
+        }
+        break;
+      default:
+        break;
+    }
+    simulation.Run(Milliseconds(100 + draw(900)));
+  }
+  simulation.lost_answer_share = 0;
+  for (const auto& upstream : simulation.upstreams) {
+    if (upstream->dark) upstream->Restart(simulation.now, start_time++);
+    upstream->reachable = true;
+  }
+  simulation.Run(Milliseconds(40000));
+  for (const Violation& violation : simulation.violations) {
+    CAPTURE(violation.what, violation.at.count());
+    CHECK(false);
+    break;
+  }
+  CHECK(simulation.holder->jobs().empty());
+}
+
+// Guards against the same under combinations of restarts, cuts, late answers and failovers.
+TEST_CASE("no task runs twice when upstreams start again and are cut off") {
+  for (unsigned seed = 1; seed <= 200; ++seed) PlayRestartsAndCuts(seed);
+}
+
+}  // namespace
+}  // namespace endivewood::testing
--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -41,6 +41,8 @@
   bool reachable = true;                ///< From the current holder.
   bool reachable_by_old_holder = true;  ///< From the previous holder while it still runs.
   bool alive = true;
+  /// Down, with its connections open: orders that are sent to it reach its next incarnation.
+  bool dark = false;
   bool fails_all = false;
   std::set<JobId> failing_jobs;   ///< Jobs whose tasks fail.
   bool refuses_starts = false;    ///< Answers starts as an unhealthy upstream.
@@ -48,30 +50,34 @@
   /// Whether a start is late once its own lease end has passed, or only once the upstream has no
   /// lease. The platform's page leaves it open.
   bool late_by_order = true;
-  bool stalled = false;         ///< Tasks make no progress.
-  Milliseconds stop_time{0};    ///< From a stop order to the end of the run.
-  Milliseconds listed_from{0};  ///< Its registry entry appears at this time.
+  bool stalled = false;           ///< Tasks make no progress.
+  Milliseconds max_lease{10000};  ///< Longer leases are shortened to this.
+  Milliseconds stop_time{0};      ///< From a stop order to the end of the run.
+  Milliseconds listed_from{0};    ///< Its registry entry appears at this time.
   /// An upstream that is no longer alive keeps its registry entry until this time.
   Milliseconds listed_until{0};
   std::map<TaskKey, Running> running;
   std::vector<EndedRow> ended;
   std::uint64_t acknowledged_up_to = 0;
-  std::size_t ended_runs = 0;  ///< In all incarnations.
+  std::size_t ended_runs = 0;   ///< In all incarnations.
+  std::size_t stop_orders = 0;  ///< In all incarnations.
 
   bool IsListed(Milliseconds now) const { return alive ? now >= listed_from : now < listed_until; }
 
   std::int64_t ClockAt(Milliseconds now) const { return (now - m_start_time).count(); }
 
-  void Restart(Milliseconds now, std::int64_t start_time) {
+  /// @param clock time of its clock when it starts again.
+  void Restart(Milliseconds now, std::int64_t start_time, Milliseconds clock = Milliseconds{0}) {
     running.clear();
     ended.clear();
     m_last_ended_runs.clear();
     m_number = 0;
     acknowledged_up_to = 0;
     m_token = 0;
-    m_lease_until = 0;
-    m_start_time = now;
+    m_lease_until = clock.count();
+    m_start_time = now - clock;
     entry.start_time = start_time;
+    dark = false;
   }
 
   /// Ends tasks whose duration is over, and all tasks when the lease has lapsed.
@@ -110,10 +116,10 @@
       return {.outcome = OrderOutcome::kLeaseExpired, .clock = ClockAt(now)};
     }
     const auto last_ended = m_last_ended_runs.find(order.task);
+    ExtendLease(order.lease_until, now);
     if (last_ended != m_last_ended_runs.end() && order.run <= last_ended->second) {
       return {.outcome = OrderOutcome::kStaleRun, .clock = ClockAt(now)};
     }
-    m_lease_until = std::max(m_lease_until, order.lease_until);
     running[order.task] = {.run = order.run,
                            .started = now,
                            .duration = duration,
@@ -129,6 +135,7 @@
   OrderReply Stop(const StopOrder& order, std::uint64_t token, Milliseconds now) {
     if (token < m_token) return {.outcome = OrderOutcome::kFenced, .clock = ClockAt(now)};
     m_token = token;
+    ++stop_orders;
     auto& last_ended = m_last_ended_runs[order.task];
     last_ended = std::max(last_ended, order.run);
     const auto found = running.find(order.task);
@@ -151,7 +158,7 @@
     }
     m_token = token;
     acknowledged_up_to = std::max(acknowledged_up_to, order.acknowledge_up_to);
-    if (order.lease_until) m_lease_until = std::max(m_lease_until, *order.lease_until);
+    if (order.lease_until) ExtendLease(*order.lease_until, now);
     std::erase_if(ended, [&](const EndedRow& row) { return row.number <= acknowledged_up_to; });
     const std::size_t listed = std::min(ended.size(), listed_ends);
     reply.ended.assign(ended.begin(), ended.begin() + static_cast<std::ptrdiff_t>(listed));
@@ -181,6 +188,10 @@
   }
 
  private:
+  void ExtendLease(std::int64_t until, Milliseconds now) {
+    m_lease_until = std::max(m_lease_until, std::min(until, ClockAt(now) + max_lease.count()));
+  }
+
   void End(const TaskKey& task, RunEnd how) {
     const Running run = running.at(task);
     running.erase(task);
@@ -310,6 +321,9 @@
   bool may_extend = true;
   double lost_answer_share = 0;    ///< Share of orders that are executed but not answered.
   double delayed_order_share = 0;  ///< Share of orders that are executed seconds later.
+  Milliseconds answer_time{10};    ///< From an order to its answer, unless that is lost.
+  /// Minimum time from an order to a dark upstream until the next incarnation executes it.
+  Milliseconds dark_order_delay{0};
   Milliseconds task_duration{500};
   Milliseconds now{1000};
   std::uint64_t epoch = 1;
@@ -333,8 +347,9 @@
   };
   struct DelayedOrder {
     UpstreamOrder order;
-    std::uint64_t token = 0;
+    std::uint64_t epoch = 0;  ///< Of its holder.
     Milliseconds at{0};
+    bool after_dark = false;  ///< Waits until the upstream isn't dark any more.
   };
 
   static constexpr Milliseconds kStep{10};
@@ -359,7 +374,7 @@
   void Step() {
     now += kStep;
     for (const auto& upstream : upstreams) {
-      if (upstream->alive) upstream->Advance(now);
+      if (upstream->alive && !upstream->dark) upstream->Advance(now);
       for (const EndedRow& row : upstream->ended) {
         if (row.end == RunEnd::kDone) m_done.insert(row.task);
       }
@@ -367,13 +382,15 @@
     if (now.count() % m_options.registry_interval.count() == 0) PublishRegistry();
     std::vector<DelayedOrder> due;
     std::erase_if(m_delayed_orders, [&](const DelayedOrder& delayed) {
-      if (delayed.at > now) return false;
+      if (delayed.at > now || (delayed.after_dark && Find(UpstreamOf(delayed.order))->dark)) {
+        return false;
+      }
       due.push_back(delayed);
       return true;
     });
     for (const DelayedOrder& delayed : due) {
       // The upstream may be in another incarnation by then.
-      ExecuteOrder(delayed.order, delayed.token);
+      ExecuteOrder(delayed.order, delayed.epoch);
     }
     std::vector<std::function<void()>> answers;
     std::swap(answers, m_answers);
@@ -417,24 +434,33 @@
         holder->OnRenewed(pending.order, {.outcome = OrderOutcome::kNoAnswer}, now);
         return true;
       }
-      const bool gone = !upstream->alive || !upstream->reachable;
+      const bool gone = !upstream->alive || !upstream->reachable || upstream->dark;
       if (gone) {
         if (now < pending.until + kAnswerTimeout) return false;
         holder->OnRenewed(pending.order, {.outcome = OrderOutcome::kNoAnswer}, now);
         return true;
       }
       if (upstream->ended.empty() && now < pending.until) return false;
-      holder->OnRenewed(pending.order, upstream->Renew(pending.order, epoch, now), now);
+      holder->OnRenewed(pending.order,
+                        upstream->Renew(pending.order, TokenOf(pending.order, epoch), now), now);
       return true;
     });
   }
 
-  OrderReply ExecuteOrder(const UpstreamOrder& order, std::uint64_t token) {
-    const UpstreamId id = std::visit([](const auto& each) { return each.upstream; }, order);
-    FakeUpstream* const upstream = Find(id);
-    const bool by_old = token != epoch;
+  static UpstreamId UpstreamOf(const UpstreamOrder& order) {
+    return std::visit([](const auto& each) { return each.upstream; }, order);
+  }
+
+  static std::uint64_t TokenOf(const UpstreamOrder&, std::uint64_t holder_epoch) {
+    return holder_epoch;
+  }
+
+  OrderReply ExecuteOrder(const UpstreamOrder& order, std::uint64_t holder_epoch) {
+    FakeUpstream* const upstream = Find(UpstreamOf(order));
+    const std::uint64_t token = TokenOf(order, holder_epoch);
+    const bool by_old = holder_epoch != epoch;
     const bool reached = by_old ? upstream->reachable_by_old_holder : upstream->reachable;
-    if (!upstream->alive || !reached) return {};
+    if (!upstream->alive || !reached || upstream->dark) return {};
     if (const auto* start = std::get_if<StartOrder>(&order)) {
       ++starts;
       const StepSpec& step = specs.at(start->task.job).steps[start->task.step];
@@ -447,24 +473,38 @@
       return upstream->Start(*start, token, step, duration, now);
     }
     if (const auto* stop = std::get_if<StopOrder>(&order)) return upstream->Stop(*stop, token, now);
+    if (const auto* renew = std::get_if<RenewOrder>(&order)) upstream->Renew(*renew, token, now);
     return {.outcome = OrderOutcome::kDone, .clock = upstream->ClockAt(now)};
   }
 
-  void Deliver(JobScheduler* scheduler, std::uint64_t token) {
+  void Deliver(JobScheduler* scheduler, std::uint64_t holder_epoch) {
     for (const UpstreamOrder& order : scheduler->TakeOrders()) {
-      const UpstreamId id = std::visit([](const auto& each) { return each.upstream; }, order);
-      FakeUpstream* const upstream = Find(id);
+      FakeUpstream* const upstream = Find(UpstreamOf(order));
+      const std::uint64_t token = TokenOf(order, holder_epoch);
+      if (upstream->dark) {
+        m_delayed_orders.push_back({.order = order,
+                                    .epoch = holder_epoch,
+                                    .at = now + dark_order_delay,
+                                    .after_dark = true});
+        if (!std::holds_alternative<RenewOrder>(order)) {
+          Answer(scheduler, order, {}, kAnswerTimeout);
+          continue;
+        }
+      }
       if (const auto* renew = std::get_if<RenewOrder>(&order)) {
         ++renewals;
         if (scheduler != holder.get()) {
-          const bool reached = upstream->alive && upstream->reachable_by_old_holder;
+          const bool reached =
+              upstream->alive && upstream->reachable_by_old_holder && !upstream->dark;
           const RenewReply reply = reached ? upstream->Renew(*renew, token, now)
                                            : RenewReply{.outcome = OrderOutcome::kNoAnswer};
           scheduler->OnRenewed(*renew, reply, now);
           continue;
         }
         // It takes effect on arrival; only the answer is delayed.
-        if (upstream->alive && upstream->reachable) upstream->Renew(*renew, epoch, now);
+        if (upstream->alive && upstream->reachable && !upstream->dark) {
+          upstream->Renew(*renew, token, now);
+        }
         m_pending_renews.push_back({.order = *renew,
                                     .until = now + renew->wait,
                                     .start_time = upstream->entry.start_time});
@@ -472,14 +512,14 @@
       }
       if (RandomFraction() < delayed_order_share) {
         const Milliseconds delay(2000 + static_cast<int>(RandomFraction() * 10000));
-        m_delayed_orders.push_back({.order = order, .token = token, .at = now + delay});
+        m_delayed_orders.push_back({.order = order, .epoch = holder_epoch, .at = now + delay});
         Answer(scheduler, order, {}, kAnswerTimeout);
         continue;
       }
-      const OrderReply reply = ExecuteOrder(order, token);
+      const OrderReply reply = ExecuteOrder(order, holder_epoch);
       const bool lost =
           reply.outcome == OrderOutcome::kNoAnswer || RandomFraction() < lost_answer_share;
-      Answer(scheduler, order, lost ? OrderReply{} : reply, lost ? kAnswerTimeout : kStep);
+      Answer(scheduler, order, lost ? OrderReply{} : reply, lost ? kAnswerTimeout : answer_time);
     }
   }
 
