Give each incarnation of an upstream a fencing token of its own

What callers saw: a task ran twice after its upstream had started again under its id.

Cause: orders and answers named the upstream, but not its incarnation. An order for the former incarnation that was executed after the restart extended the lease of the new one, or started a run there. An answer of the former one changed the clock of the new one, or confirmed a stop that the new one hadn't seen.

Change: the fencing token rises with each incarnation that the holder sees, so that the new one refuses orders for the former one from its first answer on; the run list that counts is the one read with the new token, and a renewal from before the restart isn't waited for. Orders carry the incarnation for which they are meant, and answers to orders for a former one change neither clock, lease, avoidance nor stops. The tokens are those of the holder's generation, so that later holders are above them, also ones of an earlier build; terms of the same generation begin above them. Where they are used up, the incarnation isn't used until orders for the former one have expired.

--- a/src/config.h
+++ b/src/config.h
@@ -452,6 +452,10 @@
 /// epoch of its own; two with the same epoch would use the same sequence and run numbers.
 inline constexpr std::uint64_t kTermsPerGeneration = 100;
 
+/// How many of a generation's epochs may also be used as fencing tokens for restarted upstreams.
+/// The others are left for terms.
+inline constexpr std::uint64_t kRestartTokensPerGeneration = 50;
+
 /// Sequence numbers per epoch, so that epochs don't share any. The log service treats an append
 /// with a recently used number as a repeat, whatever its epoch, and doesn't store it.
 inline constexpr std::uint64_t kAppendsPerEpoch = 1000000;
--- a/src/events.cc
+++ b/src/events.cc
@@ -94,6 +94,7 @@
       {Event::kTaskUnplaced, "task-unplaced", EventLevel::kWarning},
       {Event::kMoveHeld, "move-held", EventLevel::kInfo},
       {Event::kRoomHeld, "room-held", EventLevel::kInfo},
+      {Event::kTokensExhausted, "tokens-exhausted", EventLevel::kWarning},
       {Event::kPartitionClaimed, "partition-claimed", EventLevel::kInfo},
       {Event::kPartitionLoaded, "partition-loaded", EventLevel::kInfo},
       {Event::kPartitionLost, "partition-lost", EventLevel::kWarning},
--- a/src/events.h
+++ b/src/events.h
@@ -114,6 +114,7 @@
   kTaskUnplaced = 720,
   kMoveHeld = 721,
   kRoomHeld = 722,
+  kTokensExhausted = 723,
   // Partitions of the job store, and the calls of callers.
   kPartitionClaimed = 800,
   kPartitionLoaded = 801,
--- a/src/group_membership.cc
+++ b/src/group_membership.cc
@@ -2,6 +2,7 @@
 /// Joins to the group, and epochs for the partitions that it assigns.
 #include "group_membership.h"
 
+#include <algorithm>
 #include <set>
 
 #include "config.h"
@@ -46,6 +47,12 @@
   m_next_join = changed ? now : m_sent_at + m_options.join_interval;
 }
 
+void GroupMembership::OnTermEnded(int partition, std::uint64_t highest_token) {
+  m_held.erase(partition);
+  std::uint64_t& last = m_last_epochs[partition];
+  last = std::max(last, highest_token);
+}
+
 std::uint64_t GenerationOfEpoch(std::uint64_t epoch) { return epoch / config::kTermsPerGeneration; }
 
 std::optional<std::uint64_t> GroupMembership::NextEpoch(int partition) const {
--- a/src/group_membership.h
+++ b/src/group_membership.h
@@ -41,8 +41,9 @@
   /// @returns whether the membership is certain not to have expired.
   bool IsConfirmed(Milliseconds now) const;
 
-  /// Gives the next term for the partition a higher epoch.
-  void OnTermEnded(int partition) { m_held.erase(partition); }
+  /// Gives the next term for the partition an epoch above `highest_token`, which the ended one has
+  /// used as a fencing token.
+  void OnTermEnded(int partition, std::uint64_t highest_token);
 
   Milliseconds NextDue() const { return m_in_flight ? Milliseconds::max() : m_next_join; }
   const GroupMembershipOptions& options() const { return m_options; }
@@ -54,7 +55,8 @@
   std::optional<std::uint64_t> NextEpoch(int partition) const;
 
   std::map<int, std::uint64_t> m_held;
-  std::map<int, std::uint64_t> m_last_epochs;  ///< Highest epoch used, by partition.
+  /// Highest epoch or fencing token used, by partition.
+  std::map<int, std::uint64_t> m_last_epochs;
   std::uint64_t m_generation = 0;
   bool m_in_flight = false;
   Milliseconds m_next_join{0};
--- a/src/job_node.cc
+++ b/src/job_node.cc
@@ -310,7 +310,7 @@
     const bool still_held = held != m_membership.held().end();
     if (!still_held) it->second->End("dealt to another member");
     if (it->second->state() == PartitionTerm::State::kEnded) {
-      if (still_held) m_membership.OnTermEnded(it->first);
+      m_membership.OnTermEnded(it->first, it->second->scheduler().highest_fencing_token());
       if (it->first == kPlannerPartition) m_planner.reset();
       it = m_terms.erase(it);
       continue;
--- a/src/job_node_orders.cc
+++ b/src/job_node_orders.cc
@@ -17,6 +17,10 @@
   return std::visit([](const auto& each) -> const UpstreamId& { return each.upstream; }, order);
 }
 
+std::uint64_t FencingTokenOf(const UpstreamOrder& order) {
+  return std::visit([](const auto& each) { return each.target.fencing_token; }, order);
+}
+
 /// @returns the time in which the upstream should have answered.
 Milliseconds TimeoutOf(const UpstreamOrder& order) {
   const auto* const renew = std::get_if<RenewOrder>(&order);
@@ -63,7 +67,7 @@
       return;
     }
   }
-  const std::uint64_t token = term->options().epoch;
+  const std::uint64_t token = FencingTokenOf(order);
   if (const auto* renew = std::get_if<RenewOrder>(&order)) {
     m_callbacks.send_renew(upstream.endpoint, token, *renew, TimeoutOf(order),
                            [this, term, order](RenewReply reply) {
@@ -112,7 +116,7 @@
   };
   m_batches[carrier].push_back(
       {.order = {.upstream = upstream.endpoint,
-                 .fencing_token = term->options().epoch,
+                 .fencing_token = FencingTokenOf(order),
                  .order = order,
                  .valid_until = m_carriers.ValidUntil(carrier, m_clock->Now())},
        .timeout = TimeoutOf(order) + Milliseconds(config::kCarryMarginMs),
--- a/src/job_scheduler.cc
+++ b/src/job_scheduler.cc
@@ -47,7 +47,8 @@
 
 }  // namespace
 
-JobScheduler::JobScheduler(const SchedulerOptions& options) : m_options(options) {}
+JobScheduler::JobScheduler(const SchedulerOptions& options)
+    : m_options(options), m_highest_fencing_token(options.epoch) {}
 
 void JobScheduler::Restore(const KeyedRecord& record) {
   if (record.key.starts_with(kMetadataPrefix)) {
@@ -68,6 +69,7 @@
     session.entry.service = upstream->service;
     session.entry.endpoint = upstream->endpoint;
     session.registered = true;
+    session.fencing_token = m_options.epoch;
   } else {
     LogEvent(Event::kMalformedRecord, {{"key", record.key}, {"partition", m_options.partition}});
   }
@@ -511,7 +513,8 @@
                                    .payload = waiting->job->spec().payload,
                                    .lease_until = std::min(until, session.lease_until),
                                    .checkpoint = task.checkpoint,
-                                   .ticket = ""});
+                                   .ticket = "",
+                                   .target = session.Target()});
   // Renew soon, so that the end of the task is noticed.
   ScheduleRenew(&session, now + Milliseconds(config::kRenewSpacingMs));
   LogEvent(Event::kTaskStarted, {RequestField(key.job.str()),
--- a/src/job_scheduler.h
+++ b/src/job_scheduler.h
@@ -17,7 +17,7 @@
 
 struct SchedulerOptions {
   int partition = 0;        ///< Of the job store; the scheduler serves all its services.
-  std::uint64_t epoch = 0;  ///< Producer epoch of the partition, also the fencing token.
+  std::uint64_t epoch = 0;  ///< Producer epoch of the partition, also the first fencing token.
   Milliseconds lease{4000};
   Milliseconds max_lease{10000};    ///< Upstreams shorten any longer lease to this.
   Milliseconds drain_notice{2000};  ///< Minimum time that a draining upstream continues.
@@ -158,6 +158,8 @@
   const SchedulerOptions& options() const { return m_options; }
   const std::map<JobId, std::unique_ptr<Job>>& jobs() const { return m_jobs; }
   const std::map<UpstreamId, UpstreamSession>& sessions() const { return m_sessions; }
+  /// @returns the highest fencing token of any order so far.
+  std::uint64_t highest_fencing_token() const { return m_highest_fencing_token; }
   std::size_t results() const { return m_results.size(); }
 
  private:
@@ -197,6 +199,9 @@
   // job_scheduler_upstreams.cc
   UpstreamSession* FindSession(const UpstreamId& id);
   void HandleNewIncarnation(UpstreamSession* session, std::int64_t start_time, Milliseconds now);
+  /// Gives the session's next incarnation a fencing token of its own, or keeps orders from it until
+  /// those for the former one have expired.
+  void BeginIncarnation(UpstreamSession* session, Milliseconds now);
   void StopUnansweredStarts(UpstreamSession* session, Milliseconds now);
   void DropRun(UpstreamSession* session, const TaskKey& task, const char* cause, Milliseconds now);
   void HandleLeaseEnd(UpstreamSession* session, Milliseconds now);
@@ -268,6 +273,13 @@
   /// Addresses at which another incarnation answers.
   std::map<UpstreamId, Milliseconds> m_ignored_until;
   std::map<UpstreamId, Milliseconds> m_release_holds;  ///< Release holds of unknown upstreams.
+  /// A forgotten upstream for which orders may still be under way.
+  struct FormerSession {
+    OrderTarget target;
+    Milliseconds until{0};
+  };
+  std::map<UpstreamId, FormerSession> m_former_sessions;
+  std::uint64_t m_highest_fencing_token = 0;
   std::map<std::string, std::string> m_metadata;
 
   std::uint64_t m_change = 0;
--- a/src/job_scheduler_upstreams.cc
+++ b/src/job_scheduler_upstreams.cc
@@ -30,7 +30,16 @@
     UpstreamSession& session = position->second;
     const auto hold = m_release_holds.find(entry.id);
     if (added && hold != m_release_holds.end()) session.released_until = hold->second;
-    if (added) session.registered_at_change = MarkDirty(UpstreamKey(entry.id), true);
+    if (added) {
+      session.registered_at_change = MarkDirty(UpstreamKey(entry.id), true);
+      session.fencing_token = m_options.epoch;
+      const auto former = m_former_sessions.find(entry.id);
+      if (former != m_former_sessions.end() && former->second.until > now) {
+        session.incarnation = former->second.target.incarnation;
+        session.fencing_token = former->second.target.fencing_token;
+        BeginIncarnation(&session, now);
+      }
+    }
     const bool newer =
         entry.start_time != 0 && session.start_time != 0 && entry.start_time > session.start_time;
     const bool older =
@@ -60,16 +69,37 @@
     LogEvent(Event::kUpstreamForgotten, {{"upstream", it->first}});
     DropUnacknowledgedFailures(&session, now);
     MarkDirty(UpstreamKey(it->first), false);
+    m_former_sessions[it->first] = {.target = session.Target(),
+                                    .until = now + Milliseconds(config::kMaxOrderDelayMs)};
     it = m_sessions.erase(it);
   }
+  std::erase_if(m_former_sessions, [&](const auto& each) { return each.second.until <= now; });
   m_next_due = now;
 }
 
+void JobScheduler::BeginIncarnation(UpstreamSession* session, Milliseconds now) {
+  ++session->incarnation;
+  const std::uint64_t token = session->fencing_token + 1;
+  if (token % config::kTermsPerGeneration <= config::kRestartTokensPerGeneration) {
+    session->fencing_token = token;
+    m_highest_fencing_token = std::max(m_highest_fencing_token, token);
+  } else {
+    session->no_contact_before = now + Milliseconds(config::kMaxOrderDelayMs);
+    LogEvent(Event::kTokensExhausted, {{"upstream", session->entry.id},
+                                       {"fencing_token", session->fencing_token},
+                                       {"wait_ms", config::kMaxOrderDelayMs}});
+  }
+  // Its answer would come from the former incarnation, or lack the new fencing token.
+  session->renew_in_flight = false;
+}
+
 void JobScheduler::HandleNewIncarnation(UpstreamSession* session, std::int64_t start_time,
                                         Milliseconds now) {
-  LogEvent(
-      Event::kUpstreamRestarted,
-      {{"upstream", session->entry.id}, {"born", start_time}, {"was_born", session->start_time}});
+  BeginIncarnation(session, now);
+  LogEvent(Event::kUpstreamRestarted, {{"upstream", session->entry.id},
+                                       {"born", start_time},
+                                       {"was_born", session->start_time},
+                                       {"fencing_token", session->fencing_token}});
   for (auto it = session->hosted.begin(); it != session->hosted.end();) {
     HostedRun& run = it->second;
     if (!run.listed) {
@@ -182,6 +212,8 @@
   if (m_start_window_full) m_next_due = Milliseconds{0};
   UpstreamSession* session = FindSession(order.upstream);
   if (session == nullptr) return;
+  // An answer may come from the incarnation for which the order was meant, or from the next one.
+  const bool current = order.target.incarnation == session->incarnation;
   if (reply.outcome != OrderOutcome::kNoAnswer) {
     std::erase_if(session->unanswered_starts, [&](const UpstreamSession::UnansweredStart& start) {
       return start.task == order.task && start.run == order.run;
@@ -190,7 +222,7 @@
   const auto found = session->hosted.find(order.task);
   if (found == session->hosted.end() || found->second.run != order.run) return;
   HostedRun& run = found->second;
-  if (reply.clock && reply.outcome != OrderOutcome::kWrongIncarnation) {
+  if (current && reply.clock && reply.outcome != OrderOutcome::kWrongIncarnation) {
     session->clock.Observe(*reply.clock, now);
   }
   if (reply.outcome != OrderOutcome::kDone) {
@@ -199,7 +231,8 @@
                                    {"task", order.task.str()},
                                    {"run", order.run},
                                    {"upstream", order.upstream},
-                                   {"outcome", OrderOutcomeName(reply.outcome)}});
+                                   {"outcome", OrderOutcomeName(reply.outcome)},
+                                   {"current", current}});
   }
   switch (reply.outcome) {
     case OrderOutcome::kDone:
@@ -210,24 +243,27 @@
       if (const auto job = m_jobs.find(order.task.job); job != m_jobs.end()) {
         NoteStarted(job->second.get());
       }
-      session->unanswered = 0;
+      if (current) session->unanswered = 0;
       return;
     case OrderOutcome::kNoAnswer:
       if (run.state == HostedState::kStarting) run.state = HostedState::kUncertain;
-      ++session->unanswered;
+      if (current) ++session->unanswered;
       ScheduleRenew(session, now);
       return;
     case OrderOutcome::kFenced:
+      // The next incarnation refuses orders that were meant for the former one.
+      if (!current) break;
       m_fenced_out = true;
       return;
     case OrderOutcome::kNoCapacity:
-      session->full_until = now + Milliseconds(config::kFullAvoidMs);
+      if (current) session->full_until = now + Milliseconds(config::kFullAvoidMs);
       break;
     case OrderOutcome::kUnhealthy:
     case OrderOutcome::kNotSent:
-      session->avoid_until = now + Milliseconds(config::kUnhealthyAvoidMs);
+      if (current) session->avoid_until = now + Milliseconds(config::kUnhealthyAvoidMs);
       break;
     case OrderOutcome::kWrongIncarnation: {
+      if (!current) break;
       m_ignored_until[order.upstream] = now + Milliseconds(config::kUpstreamAvoidMs);
       session->listed = false;
       session->inherited_lease_end = now;
@@ -247,13 +283,16 @@
   run->state = HostedState::kStopping;
   run->stop_sent_at = now;
   session->stops_unconfirmed = true;
-  m_orders.emplace_back(StopOrder{.upstream = session->entry.id, .task = task, .run = run->run});
+  m_orders.emplace_back(StopOrder{
+      .upstream = session->entry.id, .task = task, .run = run->run, .target = session->Target()});
   ScheduleRenew(session, now + Milliseconds(config::kRenewSpacingMs));
 }
 
 void JobScheduler::OnStopped(const StopOrder& order, const OrderReply& reply, Milliseconds now) {
   UpstreamSession* session = FindSession(order.upstream);
   if (session == nullptr) return;
+  // The stop is repeated for the present incarnation.
+  if (order.target.incarnation != session->incarnation) return;
   const auto found = session->hosted.find(order.task);
   if (found == session->hosted.end() || found->second.run != order.run) return;
   if (reply.outcome == OrderOutcome::kDone) {
@@ -270,6 +309,7 @@
 void JobScheduler::OnPaced(const PaceOrder& order, const OrderReply& reply, Milliseconds) {
   UpstreamSession* session = FindSession(order.upstream);
   if (session == nullptr || reply.outcome != OrderOutcome::kDone) return;
+  if (order.target.incarnation != session->incarnation) return;
   const auto found = session->hosted.find(order.task);
   if (found != session->hosted.end()) found->second.pace = order.percent;
 }
@@ -277,6 +317,7 @@
 void JobScheduler::OnRenewed(const RenewOrder& order, const RenewReply& reply, Milliseconds now) {
   UpstreamSession* session = FindSession(order.upstream);
   if (session == nullptr) return;
+  if (order.target.incarnation != session->incarnation) return;
   session->renew_in_flight = false;
   switch (reply.outcome) {
     case OrderOutcome::kDone:
@@ -305,7 +346,9 @@
   if (reply.start_time != 0 && session->start_time != 0 && reply.start_time < session->start_time)
     return;
   if (reply.start_time != 0 && session->start_time != 0 && reply.start_time > session->start_time) {
+    // The list that counts is the one read with the new fencing token.
     HandleNewIncarnation(session, reply.start_time, now);
+    return;
   }
   if (reply.start_time != 0) session->start_time = reply.start_time;
   session->clock.Observe(reply.clock, now);
@@ -318,7 +361,7 @@
     // A lease extended by an earlier holder ends no later than one that starts now.
     session->lease_until = std::max(session->lease_until, reply.clock + m_options.lease.count());
     LogEvent(Event::kUpstreamFenced, {{"upstream", order.upstream},
-                                      {"epoch", m_options.epoch},
+                                      {"fencing_token", session->fencing_token},
                                       {"born", reply.start_time},
                                       {"clock", reply.clock},
                                       {"running", reply.running.size()},
@@ -350,11 +393,12 @@
   std::erase_if(session->unanswered_starts, [&](const UpstreamSession::UnansweredStart& start) {
     return start.sent_at + Milliseconds(config::kMaxOrderDelayMs) <= now;
   });
-  if (session->stops_unconfirmed) RepeatStops(session, now);
+  if (session->stops_unconfirmed && session->no_contact_before <= now) RepeatStops(session, now);
   const bool evacuate = session->entry.draining || session->released_until > now;
   if (evacuate && rights.move && now >= m_no_moves_before) EvacuateUpstream(session, now);
   MoveStalledTasks(session, now);
   AdjustPace(session, now);
+  session->next_renew = std::max(session->next_renew, session->no_contact_before);
   if (!session->renew_in_flight && session->next_renew <= now) Renew(session, now, rights.extend);
   if (!session->renew_in_flight) m_next_due = std::min(m_next_due, session->next_renew);
 }
@@ -374,7 +418,8 @@
                    .lease_until = std::nullopt,
                    .acknowledge_up_to = session->stored_cursor,
                    .wait = Milliseconds{0},
-                   .sent_at = now};
+                   .sent_at = now,
+                   .target = session->Target()};
   // The first renew order only sets the fencing token and reads the upstream's clock. After a
   // missing answer the lease isn't extended either: extensions whose answers are lost would
   // postpone the end of the lease indefinitely.
@@ -512,8 +557,11 @@
   for (auto& [task, run] : session->hosted) {
     if (!run.best_effort || run.state != HostedState::kRunning || run.pace == *percent) continue;
     run.paced_at = now;
-    m_orders.emplace_back(PaceOrder{
-        .upstream = session->entry.id, .task = task, .run = run.run, .percent = *percent});
+    m_orders.emplace_back(PaceOrder{.upstream = session->entry.id,
+                                    .task = task,
+                                    .run = run.run,
+                                    .percent = *percent,
+                                    .target = session->Target()});
     LogEvent(Event::kTaskPaced, {RequestField(task.job.str()),
                                  {"task", task.str()},
                                  {"upstream", session->entry.id},
--- a/src/jobs.h
+++ b/src/jobs.h
@@ -149,6 +149,14 @@
 
 // Orders to upstreams.
 
+/// The incarnation of an upstream for which an order is meant. The order may reach a later one.
+struct OrderTarget {
+  std::uint64_t incarnation = 0;    ///< See UpstreamSession::incarnation.
+  std::uint64_t fencing_token = 0;  ///< Rises with the holder and with the incarnation.
+
+  bool operator==(const OrderTarget&) const = default;
+};
+
 struct StartOrder {
   UpstreamId upstream;
   TaskKey task;
@@ -157,12 +165,14 @@
   std::int64_t lease_until = 0;  ///< By the upstream's clock, milliseconds.
   std::string checkpoint;
   std::string ticket;
+  OrderTarget target = {};
 };
 
 struct StopOrder {
   UpstreamId upstream;
   TaskKey task;
   std::uint64_t run = 0;
+  OrderTarget target = {};
 };
 
 /// Sets the pace of a task in percent of its full speed.
@@ -171,6 +181,7 @@
   TaskKey task;
   std::uint64_t run = 0;
   int percent = 100;
+  OrderTarget target = {};
 };
 
 /// Extends the lease, acknowledges ended runs and requests the run list.
@@ -181,6 +192,7 @@
   std::uint64_t acknowledge_up_to = 0;  ///< Last acknowledged EndedRow::number.
   Milliseconds wait{0};  ///< Long poll: answer at the next end of a run, at the latest after this.
   Milliseconds sent_at{0};
+  OrderTarget target = {};
 };
 
 using UpstreamOrder = std::variant<StartOrder, StopOrder, PaceOrder, RenewOrder>;
--- a/src/upstream_session.h
+++ b/src/upstream_session.h
@@ -111,6 +111,12 @@
   /// It has accepted this holder's fencing token, so no older holder can change its runs.
   bool fenced = false;
   std::int64_t start_time = 0;
+  /// Number of incarnations before this one that this holder has seen.
+  std::uint64_t incarnation = 0;
+  /// Of orders for this incarnation, so that it refuses those for a former one from its first
+  /// answer on.
+  std::uint64_t fencing_token = 0;
+  Milliseconds no_contact_before{0};  ///< No order is sent before this time.
   RemoteClock clock;
   /// Latest lease end that any order, answered or not, may have set; by the remote clock.
   std::int64_t lease_until = 0;
@@ -179,6 +185,10 @@
   bool IsDescribed() const {
     return entry.start_time == 0 || start_time == 0 || entry.start_time == start_time;
   }
+  OrderTarget Target() const {
+    return {.incarnation = incarnation, .fencing_token = fencing_token};
+  }
+
   /// @returns whether it belongs to the capacity of its service.
   bool CountsAsCapacity() const { return listed && !IsLost(); }
 
--- a/tests/former_incarnation_test.cc
+++ b/tests/former_incarnation_test.cc
@@ -75,6 +75,21 @@
   test.StartWhileDark();
   REQUIRE(test.RunOnNewIncarnation());
   test.simulation.Run(Milliseconds(3500));
+  CHECK_FALSE(test.simulation.holder->fenced_out());
+  test.CutOff();
+  CHECK(test.MovesWithin(Milliseconds(5000)));
+  CHECK(test.FirstViolation() == "");
+}
+
+// Guards against the same when all fencing tokens for restarts have been used.
+TEST_CASE("without a further fencing token, orders for a former incarnation are waited out") {
+  RestartedUpstream test({.upstreams = 2, .epoch = config::kRestartTokensPerGeneration});
+  test.simulation.dark_order_delay = kOutage + Milliseconds(3000);
+  test.StartWhileDark();
+  CHECK_FALSE(test.RunOnNewIncarnation());
+  test.simulation.Run(Milliseconds(config::kMaxOrderDelayMs));
+  REQUIRE(test.restarted().running.count(test.job) == 1);
+  test.simulation.Run(Milliseconds(1000));
   test.CutOff();
   CHECK(test.MovesWithin(Milliseconds(5000)));
   CHECK(test.FirstViolation() == "");
--- a/tests/node_calls_test.cc
+++ b/tests/node_calls_test.cc
@@ -110,7 +110,7 @@
     CHECK(membership.held().at(2) > last);
     CHECK(GenerationOfEpoch(membership.held().at(2)) == 4);
     last = membership.held().at(2);
-    membership.OnTermEnded(2);
+    membership.OnTermEnded(2, last);
   }
   membership.OnReply(reply, Milliseconds(0));
   CHECK(membership.held().empty());
@@ -119,6 +119,20 @@
   CHECK(membership.held().at(2) > last);
 }
 
+// Guards against orders of an ended term that the upstreams take for orders of the next one.
+TEST_CASE("a term's epoch is above all fencing tokens of the term before") {
+  SilenceEvents();
+  GroupMembership membership({.group = "g", .member = "m", .topic = "t"});
+  StoreReply reply{.status = StoreStatus::kOk};
+  reply.generation = 4;
+  reply.held = {{.topic = "t", .number = 2}};
+  membership.OnReply(reply, Milliseconds(0));
+  const std::uint64_t highest_token = membership.held().at(2) + 7;
+  membership.OnTermEnded(2, highest_token);
+  membership.OnReply(reply, Milliseconds(0));
+  CHECK(membership.held().at(2) > highest_token);
+}
+
 // Guards against missing changes made between the pages of a full read, and against keeping records
 // whose deletion the log no longer holds.
 TEST_CASE("a follower reads changes from the first page's end offset") {
--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -232,7 +232,7 @@
   };
 
   explicit SchedulerSimulation(const Options& options)
-      : m_options(options), m_random(options.seed) {
+      : epoch(options.epoch), m_options(options), m_random(options.seed) {
     SilenceEvents();
     for (int i = 0; i < options.upstreams; ++i) AddUpstream();
     StartNewHolder();
@@ -265,7 +265,7 @@
     old_holder = std::move(holder);
     old_confirmed_at = now - Milliseconds(1500);
     old_epoch = epoch;
-    if (old_holder) ++epoch;
+    if (old_holder) epoch += config::kTermsPerGeneration;
     holder = std::make_unique<JobScheduler>(SchedulerOptions{.partition = 1, .epoch = epoch});
     for (const auto& [key, value] : store) holder->Restore({.key = key, .value = value});
     holder->FinishRestore(now, Milliseconds{0}, now + inherited);
@@ -442,7 +442,8 @@
       }
       if (upstream->ended.empty() && now < pending.until) return false;
       holder->OnRenewed(pending.order,
-                        upstream->Renew(pending.order, TokenOf(pending.order, epoch), now), now);
+                        upstream->Renew(pending.order, pending.order.target.fencing_token, now),
+                        now);
       return true;
     });
   }
@@ -451,13 +452,13 @@
     return std::visit([](const auto& each) { return each.upstream; }, order);
   }
 
-  static std::uint64_t TokenOf(const UpstreamOrder&, std::uint64_t holder_epoch) {
-    return holder_epoch;
+  static std::uint64_t TokenOf(const UpstreamOrder& order) {
+    return std::visit([](const auto& each) { return each.target.fencing_token; }, order);
   }
 
   OrderReply ExecuteOrder(const UpstreamOrder& order, std::uint64_t holder_epoch) {
     FakeUpstream* const upstream = Find(UpstreamOf(order));
-    const std::uint64_t token = TokenOf(order, holder_epoch);
+    const std::uint64_t token = TokenOf(order);
     const bool by_old = holder_epoch != epoch;
     const bool reached = by_old ? upstream->reachable_by_old_holder : upstream->reachable;
     if (!upstream->alive || !reached || upstream->dark) return {};
@@ -480,7 +481,7 @@
   void Deliver(JobScheduler* scheduler, std::uint64_t holder_epoch) {
     for (const UpstreamOrder& order : scheduler->TakeOrders()) {
       FakeUpstream* const upstream = Find(UpstreamOf(order));
-      const std::uint64_t token = TokenOf(order, holder_epoch);
+      const std::uint64_t token = TokenOf(order);
       if (upstream->dark) {
         m_delayed_orders.push_back({.order = order,
                                     .epoch = holder_epoch,
