Wait for a lease from an order for a former incarnation

What callers saw: a task ran on two upstreams. One of them had started again under its id and was cut off soon after.

Cause: an order for the former incarnation that is executed before the new one has answered states its lease end by the former clock. Clocks begin anywhere, so the end may be far ahead, and the upstream shortens the lease only to the longest one (10 s). The holder counted on the 4 s that it had ordered itself, and restarted the runs up to 6 s early.

Change: at the first answer of an incarnation that follows another one, the longest lease from then on is assumed, unless orders for the former one have expired by the upstream's start time. Later orders for the former one are refused by their token.

Restarts state the time as their start, as upstreams do.

--- a/src/job_scheduler.h
+++ b/src/job_scheduler.h
@@ -202,6 +202,10 @@
   /// Gives the session's next incarnation a fencing token of its own, or keeps orders from it until
   /// those for the former one have expired.
   void BeginIncarnation(UpstreamSession* session, Milliseconds now);
+  /// @returns the longest time for which a lease can last from the arrival of an order.
+  Milliseconds LongestLease() const;
+  /// @returns the time by which all leases from orders for a former incarnation have ended.
+  Milliseconds FormerLeaseLimit(const UpstreamSession& session) const;
   void StopUnansweredStarts(UpstreamSession* session, Milliseconds now);
   void DropRun(UpstreamSession* session, const TaskKey& task, const char* cause, Milliseconds now);
   void HandleLeaseEnd(UpstreamSession* session, Milliseconds now);
--- a/src/job_scheduler_upstreams.cc
+++ b/src/job_scheduler_upstreams.cc
@@ -79,6 +79,7 @@
 
 void JobScheduler::BeginIncarnation(UpstreamSession* session, Milliseconds now) {
   ++session->incarnation;
+  session->follows_incarnation = true;
   const std::uint64_t token = session->fencing_token + 1;
   if (token % config::kTermsPerGeneration <= config::kRestartTokensPerGeneration) {
     session->fencing_token = token;
@@ -93,6 +94,17 @@
   session->renew_in_flight = false;
 }
 
+Milliseconds JobScheduler::LongestLease() const {
+  const double longest =
+      static_cast<double>(m_options.max_lease.count()) / config::kSlowestClockRate;
+  return Milliseconds(static_cast<std::int64_t>(longest) + config::kLeaseMarginMs);
+}
+
+Milliseconds JobScheduler::FormerLeaseLimit(const UpstreamSession& session) const {
+  return Milliseconds(session.start_time) - m_unix_offset + Milliseconds(config::kFormerOrdersMs) +
+         LongestLease();
+}
+
 void JobScheduler::HandleNewIncarnation(UpstreamSession* session, std::int64_t start_time,
                                         Milliseconds now) {
   BeginIncarnation(session, now);
@@ -126,15 +138,9 @@
   session->fenced = false;
   session->clock = RemoteClock();
   session->lease_until = 0;
+  session->former_lease_until = 0;
   // If the new incarnation has executed a start, its lease end was stated by the old clock.
-  const auto longest = static_cast<std::int64_t>(static_cast<double>(m_options.max_lease.count()) /
-                                                 config::kSlowestClockRate);
-  const Milliseconds in_flight_end = now + Milliseconds(longest + config::kLeaseMarginMs);
-  if (!session->hosted.empty()) {
-    session->inherited_lease_end = in_flight_end;
-  } else if (session->hosted_complete) {
-    session->inherited_lease_end = now;
-  }
+  if (!session->hosted.empty()) session->inherited_lease_end = now + LongestLease();
   session->processed_cursor = 0;
   session->stored_cursor = 0;
   session->sent_cursor = 0;
@@ -360,10 +366,15 @@
     session->hosted_complete = true;
     // A lease extended by an earlier holder ends no later than one that starts now.
     session->lease_until = std::max(session->lease_until, reply.clock + m_options.lease.count());
+    if (session->follows_incarnation && FormerLeaseLimit(*session) > now) {
+      session->former_lease_until = reply.clock + m_options.max_lease.count();
+    }
+    session->follows_incarnation = false;
     LogEvent(Event::kUpstreamFenced, {{"upstream", order.upstream},
                                       {"fencing_token", session->fencing_token},
                                       {"born", reply.start_time},
                                       {"clock", reply.clock},
+                                      {"former_lease_until", session->former_lease_until},
                                       {"running", reply.running.size()},
                                       {"ended", reply.ended.size()},
                                       {"more_ended", reply.more_ended}});
--- a/src/upstream_session.cc
+++ b/src/upstream_session.cc
@@ -83,7 +83,8 @@
   // Before the first run list, a lease may come from another holder's orders or from orders that
   // were sent to another incarnation.
   if (!hosted_complete) return inherited_lease_end;
-  return clock.LatestLocalTimeOf(lease_until) + Milliseconds(config::kLeaseMarginMs);
+  return clock.LatestLocalTimeOf(std::max(lease_until, former_lease_until)) +
+         Milliseconds(config::kLeaseMarginMs);
 }
 
 void UpstreamSession::OnDurable(std::uint64_t change) {
--- a/src/upstream_session.h
+++ b/src/upstream_session.h
@@ -118,8 +118,14 @@
   std::uint64_t fencing_token = 0;
   Milliseconds no_contact_before{0};  ///< No order is sent before this time.
   RemoteClock clock;
-  /// Latest lease end that any order, answered or not, may have set; by the remote clock.
+  /// Latest lease end that any order for this incarnation, answered or not, may have set; by the
+  /// remote clock.
   std::int64_t lease_until = 0;
+  /// Whether orders for a former incarnation may have reached this one before its first answer.
+  /// They state times of another clock, so they may have set the longest lease.
+  bool follows_incarnation = false;
+  /// Latest lease end that they may have set; by the remote clock.
+  std::int64_t former_lease_until = 0;
   /// Before the first run list: local time by which all leases of earlier holders have ended.
   Milliseconds inherited_lease_end{0};
 
--- a/tests/former_incarnation_test.cc
+++ b/tests/former_incarnation_test.cc
@@ -28,7 +28,7 @@
     restarted().dark = true;
     simulation.Submit(simulation.Spec("former", {Step(1, 1000)}), test_policy);
     simulation.Run(kOutage);
-    restarted().Restart(simulation.now, 2);
+    restarted().Restart(simulation.now, simulation.now.count());
   }
 
   /// @returns whether a task runs on the new incarnation.
@@ -77,7 +77,7 @@
   test.simulation.Run(Milliseconds(3500));
   CHECK_FALSE(test.simulation.holder->fenced_out());
   test.CutOff();
-  CHECK(test.MovesWithin(Milliseconds(5000)));
+  CHECK(test.MovesWithin(kLongestLease - Milliseconds(3500)));
   CHECK(test.FirstViolation() == "");
 }
 
@@ -91,7 +91,7 @@
   REQUIRE(test.restarted().running.count(test.job) == 1);
   test.simulation.Run(Milliseconds(1000));
   test.CutOff();
-  CHECK(test.MovesWithin(Milliseconds(5000)));
+  CHECK(test.MovesWithin(kLongestLease));
   CHECK(test.FirstViolation() == "");
 }
 
@@ -101,7 +101,7 @@
   test.restarted().dark = true;
   test.simulation.Submit(test.simulation.Spec("job", {Step(1, 1000)}), test_policy);
   test.simulation.Run(kOutage);
-  test.restarted().Restart(test.simulation.now, 2);
+  test.restarted().Restart(test.simulation.now, test.simulation.now.count());
   test.simulation.Run(Milliseconds(20));
   REQUIRE(test.restarted().running.count(test.job) == 1);
   test.CutOff();
@@ -147,7 +147,7 @@
   test.simulation.Submit(test.simulation.Spec("former", {Step(1, 1000)}), test_policy);
   REQUIRE(test.simulation.RunUntil([&] { return test.restarted().running.size() == 1; },
                                    Milliseconds(1000)));
-  test.restarted().Restart(test.simulation.now, 2);
+  test.restarted().Restart(test.simulation.now, test.simulation.now.count());
   test.simulation.Run(Milliseconds(800));
   REQUIRE(test.RunOnNewIncarnation());
   test.simulation.Run(Milliseconds(1000));
@@ -168,7 +168,7 @@
   // Without an answer to the start, the scheduler stops the run.
   REQUIRE(test.simulation.RunUntil([&] { return test.restarted().stop_orders == 1; },
                                    Milliseconds(4000)));
-  test.restarted().Restart(test.simulation.now, 2);
+  test.restarted().Restart(test.simulation.now, test.simulation.now.count());
   test.other().refuses_starts = false;
   test.simulation.Run(Milliseconds(20000));
   CHECK(test.simulation.RunsOf(test.job) == 1);
@@ -186,7 +186,6 @@
   SchedulerSimulation simulation({.upstreams = 5, .seed = seed});
   simulation.task_duration = Milliseconds(3000);
   simulation.lost_answer_share = 0.05;
-  std::int64_t start_time = 2;
   for (int round = 0; round < 60; ++round) {
     simulation.Submit(
         simulation.Spec("job" + std::to_string(round), {Step(1 + draw(6), 500 + draw(2000))}),
@@ -202,7 +201,7 @@
       case 2:
         // Clocks begin anywhere.
         if (upstream.dark) {
-          upstream.Restart(simulation.now, start_time++, Milliseconds(draw(60000)));
+          upstream.Restart(simulation.now, simulation.now.count(), Milliseconds(draw(60000)));
           upstream.reachable = true;
         }
         break;
@@ -224,7 +223,7 @@
   }
   simulation.lost_answer_share = 0;
   for (const auto& upstream : simulation.upstreams) {
-    if (upstream->dark) upstream->Restart(simulation.now, start_time++);
+    if (upstream->dark) upstream->Restart(simulation.now, simulation.now.count());
     upstream->reachable = true;
   }
   simulation.Run(Milliseconds(40000));
