Tell the next holder which upstreams have started again

What callers saw: a task ran on two upstreams. Its holder was killed after one of them had started again and run an order that was meant for its former incarnation; the next holder couldn't reach it.

Change: the stored record of an upstream holds the start time of its incarnation and whether that follows another one; a restart is stored before a task is placed there. A new holder that can't reach such an upstream, or sees a later start time in the registry, waits for the longest lease, until orders for the former incarnation have expired. Records of builds before and after read each other.

The random case has been rewritten: restarts soon after a crash, tasks longer than a lease.

--- a/src/job_codec.cc
+++ b/src/job_codec.cc
@@ -21,7 +21,8 @@
 ENDIVEWOOD_CODEC(endivewood::JobProgress, v.state, v.occurrences)
 ENDIVEWOOD_CODEC(endivewood::JobResult, v.queue, v.state, v.ended)
 ENDIVEWOOD_CODEC(endivewood::JobRecord, v.spec, v.policy, v.accepted)
-ENDIVEWOOD_CODEC(endivewood::UpstreamRecord, v.id, v.service, v.endpoint)
+ENDIVEWOOD_CODEC(endivewood::UpstreamRecord, v.id, v.service, v.endpoint, v.start_time,
+                 v.follows_incarnation)
 // clang-format on
 
 namespace endivewood {
--- a/src/job_scheduler.cc
+++ b/src/job_scheduler.cc
@@ -69,6 +69,8 @@
     session.entry.service = upstream->service;
     session.entry.endpoint = upstream->endpoint;
     session.registered = true;
+    session.start_time = upstream->start_time;
+    session.follows_incarnation = upstream->follows_incarnation;
     session.fencing_token = m_options.epoch;
   } else {
     LogEvent(Event::kMalformedRecord, {{"key", record.key}, {"partition", m_options.partition}});
@@ -96,7 +98,8 @@
     }
   }
   m_restored_progress.clear();
-  for (auto& [id, session] : m_sessions) session.inherited_lease_end = inherited_lease_end;
+  m_inherited_lease_end = inherited_lease_end;
+  for (auto& [id, session] : m_sessions) session.inherited_lease_end = InheritedLeaseEnd(session);
   m_no_moves_before = now + Milliseconds(config::kNewHolderMoveDelayMs);
   m_inherited_pending = !m_sessions.empty();
   if (!m_inherited_pending) ResolveInheritedTasks(now, now);
@@ -104,8 +107,9 @@
 }
 
 void JobScheduler::ShortenInheritedLeases(Milliseconds lease_end) {
+  m_inherited_lease_end = std::min(m_inherited_lease_end, lease_end);
   for (auto& [id, session] : m_sessions) {
-    session.inherited_lease_end = std::min(session.inherited_lease_end, lease_end);
+    session.inherited_lease_end = std::min(session.inherited_lease_end, InheritedLeaseEnd(session));
   }
   m_next_due = Milliseconds{0};
 }
@@ -231,7 +235,9 @@
         gone ? ""
              : EncodeUpstreamRecord({.id = session->first,
                                      .service = session->second.entry.service,
-                                     .endpoint = session->second.entry.endpoint});
+                                     .endpoint = session->second.entry.endpoint,
+                                     .start_time = session->second.start_time,
+                                     .follows_incarnation = session->second.follows_incarnation});
     records->push_back({.key = item, .value = value});
     return;
   }
--- a/src/job_scheduler.h
+++ b/src/job_scheduler.h
@@ -202,10 +202,11 @@
   /// Gives the session's next incarnation a fencing token of its own, or keeps orders from it until
   /// those for the former one have expired.
   void BeginIncarnation(UpstreamSession* session, Milliseconds now);
-  /// @returns the longest time for which a lease can last from the arrival of an order.
-  Milliseconds LongestLease() const;
   /// @returns the time by which all leases from orders for a former incarnation have ended.
   Milliseconds FormerLeaseLimit(const UpstreamSession& session) const;
+  /// @returns the time by which leases granted by earlier holders have ended on an upstream that
+  /// this holder can't reach.
+  Milliseconds InheritedLeaseEnd(const UpstreamSession& session) const;
   void StopUnansweredStarts(UpstreamSession* session, Milliseconds now);
   void DropRun(UpstreamSession* session, const TaskKey& task, const char* cause, Milliseconds now);
   void HandleLeaseEnd(UpstreamSession* session, Milliseconds now);
@@ -293,6 +294,8 @@
   std::map<std::string, std::uint64_t> m_dirty_item;  ///< Change number by unstored item.
 
   std::map<JobId, JobProgress> m_restored_progress;
+  /// Time by which leases that earlier holders granted by the right clock have ended.
+  Milliseconds m_inherited_lease_end{0};
   bool m_inherited_pending = false;
   Milliseconds m_no_moves_before{0};  ///< A new holder moves no tasks before.
   bool m_fenced_out = false;
--- a/src/job_scheduler_upstreams.cc
+++ b/src/job_scheduler_upstreams.cc
@@ -80,6 +80,10 @@
 void JobScheduler::BeginIncarnation(UpstreamSession* session, Milliseconds now) {
   ++session->incarnation;
   session->follows_incarnation = true;
+  session->accepted_token = false;
+  // The next holder has to know of the restart before a task is placed there.
+  session->registered = false;
+  session->registered_at_change = MarkDirty(UpstreamKey(session->entry.id), true);
   const std::uint64_t token = session->fencing_token + 1;
   if (token % config::kTermsPerGeneration <= config::kRestartTokensPerGeneration) {
     session->fencing_token = token;
@@ -94,15 +98,16 @@
   session->renew_in_flight = false;
 }
 
-Milliseconds JobScheduler::LongestLease() const {
-  const double longest =
-      static_cast<double>(m_options.max_lease.count()) / config::kSlowestClockRate;
-  return Milliseconds(static_cast<std::int64_t>(longest) + config::kLeaseMarginMs);
-}
-
 Milliseconds JobScheduler::FormerLeaseLimit(const UpstreamSession& session) const {
   return Milliseconds(session.start_time) - m_unix_offset + Milliseconds(config::kFormerOrdersMs) +
-         LongestLease();
+         LongestTimeOf(m_options.max_lease);
+}
+
+Milliseconds JobScheduler::InheritedLeaseEnd(const UpstreamSession& session) const {
+  if (!session.follows_incarnation) return m_inherited_lease_end;
+  const Milliseconds longer = LongestTimeOf(m_options.max_lease) - LongestTimeOf(m_options.lease);
+  return std::max(m_inherited_lease_end,
+                  std::min(m_inherited_lease_end + longer, FormerLeaseLimit(session)));
 }
 
 void JobScheduler::HandleNewIncarnation(UpstreamSession* session, std::int64_t start_time,
@@ -133,14 +138,19 @@
   if (!reached_previous_incarnation) session->sent_cursor = session->previous_sent_cursor;
   DropUnacknowledgedFailures(session, now);
   session->start_time = start_time;
+  // If the new incarnation has executed an order, its lease end was stated by the old clock.
+  const Milliseconds in_flight_end = now + LongestTimeOf(m_options.max_lease);
+  if (!session->hosted_complete) {
+    session->inherited_lease_end = std::max(InheritedLeaseEnd(*session), in_flight_end);
+  } else if (!session->hosted.empty()) {
+    session->inherited_lease_end = in_flight_end;
+  }
   session->hosted_complete = false;
   session->more_ended = false;
   session->fenced = false;
   session->clock = RemoteClock();
   session->lease_until = 0;
   session->former_lease_until = 0;
-  // If the new incarnation has executed a start, its lease end was stated by the old clock.
-  if (!session->hosted.empty()) session->inherited_lease_end = now + LongestLease();
   session->processed_cursor = 0;
   session->stored_cursor = 0;
   session->sent_cursor = 0;
@@ -366,10 +376,11 @@
     session->hosted_complete = true;
     // A lease extended by an earlier holder ends no later than one that starts now.
     session->lease_until = std::max(session->lease_until, reply.clock + m_options.lease.count());
-    if (session->follows_incarnation && FormerLeaseLimit(*session) > now) {
+    if (session->follows_incarnation && !session->accepted_token &&
+        FormerLeaseLimit(*session) > now) {
       session->former_lease_until = reply.clock + m_options.max_lease.count();
     }
-    session->follows_incarnation = false;
+    session->accepted_token = true;
     LogEvent(Event::kUpstreamFenced, {{"upstream", order.upstream},
                                       {"fencing_token", session->fencing_token},
                                       {"born", reply.start_time},
--- a/src/partition_term.cc
+++ b/src/partition_term.cc
@@ -100,10 +100,7 @@
     return;
   }
   const Milliseconds inherited =
-      now + Milliseconds(config::kLeadershipGraceMs) +
-      Milliseconds(static_cast<std::int64_t>(static_cast<double>(m_options.lease.count()) /
-                                             config::kSlowestClockRate)) +
-      Milliseconds(config::kLeaseMarginMs);
+      now + Milliseconds(config::kLeadershipGraceMs) + LongestTimeOf(m_options.lease);
   m_scheduler->FinishRestore(now, unix_offset, inherited);
   m_state = State::kActive;
   const auto holder_record = m_scheduler->metadata().find(kHolderRecordKey);
@@ -124,9 +121,7 @@
 void PartitionTerm::ApplyHandover(Milliseconds now) {
   if (m_handover_applied || !m_handover || !m_handover->settled(now)) return;
   m_handover_applied = true;
-  const auto lease = static_cast<std::int64_t>(static_cast<double>(m_options.lease.count()) /
-                                               config::kSlowestClockRate);
-  m_scheduler->ShortenInheritedLeases(now + Milliseconds(lease + config::kLeaseMarginMs));
+  m_scheduler->ShortenInheritedLeases(now + LongestTimeOf(m_options.lease));
   m_scheduler->PutMetadata(kHolderRecordKey, m_options.member);
   LogEvent(Event::kHandoverSettled, {{"partition", m_options.partition.number},
                                      {"epoch", m_options.epoch},
--- a/src/upstream_session.cc
+++ b/src/upstream_session.cc
@@ -8,6 +8,11 @@
 
 namespace endivewood {
 
+Milliseconds LongestTimeOf(Milliseconds lease) {
+  const double longest = static_cast<double>(lease.count()) / config::kSlowestClockRate;
+  return Milliseconds(static_cast<std::int64_t>(longest) + config::kLeaseMarginMs);
+}
+
 void RemoteClock::Observe(std::int64_t remote, Milliseconds received) {
   // An answer that arrives out of order gives a weaker bound than the one already known.
   if (m_known && remote < LowerBoundAt(received)) return;
--- a/src/upstream_session.h
+++ b/src/upstream_session.h
@@ -79,6 +79,9 @@
   int m_needs_unknown = 0;
 };
 
+/// @returns the time in which a lease ends, whatever the error of the upstream's clock.
+Milliseconds LongestTimeOf(Milliseconds lease);
+
 /// Bounds on a remote clock that was read in one answer and may run up to 2 % slow.
 class RemoteClock {
  public:
@@ -121,10 +124,12 @@
   /// Latest lease end that any order for this incarnation, answered or not, may have set; by the
   /// remote clock.
   std::int64_t lease_until = 0;
-  /// Whether orders for a former incarnation may have reached this one before its first answer.
-  /// They state times of another clock, so they may have set the longest lease.
+  /// Whether a holder has used a former incarnation. Orders for that one may have reached this one
+  /// before its first answer; they state times of another clock, so they may have set the longest
+  /// lease.
   bool follows_incarnation = false;
-  /// Latest lease end that they may have set; by the remote clock.
+  bool accepted_token = false;  ///< This incarnation has accepted `fencing_token`.
+  /// Latest lease end that orders for a former incarnation may have set; by the remote clock.
   std::int64_t former_lease_until = 0;
   /// Before the first run list: local time by which all leases of earlier holders have ended.
   Milliseconds inherited_lease_end{0};
--- a/tests/former_incarnation_test.cc
+++ b/tests/former_incarnation_test.cc
@@ -1,7 +1,9 @@
 /// @file
 /// Orders and answers that outlive the incarnation of the upstream for which they were meant.
 #include <catch2/catch.hpp>
+#include <tuple>
 
+#include "codec.h"
 #include "scheduler_simulation.h"
 
 namespace endivewood::testing {
@@ -25,7 +27,7 @@
   FakeUpstream& other() { return *simulation.upstreams[1]; }
 
   void StartWhileDark() {
-    restarted().dark = true;
+    restarted().GoDark();
     simulation.Submit(simulation.Spec("former", {Step(1, 1000)}), test_policy);
     simulation.Run(kOutage);
     restarted().Restart(simulation.now, simulation.now.count());
@@ -72,6 +74,7 @@
 TEST_CASE("an order for a former incarnation is refused once the new one has answered") {
   RestartedUpstream test({.upstreams = 2});
   test.simulation.dark_order_delay = kOutage + Milliseconds(3000);
+  test.simulation.resets_connections = false;
   test.StartWhileDark();
   REQUIRE(test.RunOnNewIncarnation());
   test.simulation.Run(Milliseconds(3500));
@@ -85,6 +88,7 @@
 TEST_CASE("without a further fencing token, orders for a former incarnation are waited out") {
   RestartedUpstream test({.upstreams = 2, .epoch = config::kRestartTokensPerGeneration});
   test.simulation.dark_order_delay = kOutage + Milliseconds(3000);
+  test.simulation.resets_connections = false;
   test.StartWhileDark();
   CHECK_FALSE(test.RunOnNewIncarnation());
   test.simulation.Run(Milliseconds(config::kMaxOrderDelayMs));
@@ -98,7 +102,7 @@
 // Guards against the same after a failover: the former holder hadn't noticed the restart.
 TEST_CASE("a new holder waits for a lease from an order for a former incarnation") {
   RestartedUpstream test({.upstreams = 2, .registry_interval = Milliseconds(60000)});
-  test.restarted().dark = true;
+  test.restarted().GoDark();
   test.simulation.Submit(test.simulation.Spec("job", {Step(1, 1000)}), test_policy);
   test.simulation.Run(kOutage);
   test.restarted().Restart(test.simulation.now, test.simulation.now.count());
@@ -140,6 +144,25 @@
   CHECK(test.FirstViolation() == "");
 }
 
+// Guards against records that builds before and after a further field can't exchange.
+TEST_CASE("a stored upstream is read without its incarnation, and with fields of a later build") {
+  const auto decode = [](const std::string& value) {
+    const JobStoreRecord record =
+        DecodeJobStoreRecord({.key = UpstreamKey(UpstreamId("u")), .value = value});
+    const auto* const upstream = std::get_if<UpstreamRecord>(&record);
+    return upstream == nullptr ? UpstreamRecord{} : *upstream;
+  };
+  const Endpoint endpoint{.address = "127.0.0.1", .port = 1};
+  CHECK(decode(Pack(std::make_tuple(UpstreamId("u"), test_service, endpoint))) ==
+        UpstreamRecord{.id = UpstreamId("u"), .service = test_service, .endpoint = endpoint});
+  CHECK(decode(Pack(std::make_tuple(UpstreamId("u"), test_service, endpoint, 5, true, "later"))) ==
+        UpstreamRecord{.id = UpstreamId("u"),
+                       .service = test_service,
+                       .endpoint = endpoint,
+                       .start_time = 5,
+                       .follows_incarnation = true});
+}
+
 // Guards against a clock of the former incarnation that is taken for that of the new one.
 TEST_CASE("a late answer of a former incarnation doesn't change the clock of the new one") {
   RestartedUpstream test({.upstreams = 2, .registry_interval = Milliseconds(10)});
@@ -177,33 +200,38 @@
 
 /// Plays about 30 s with upstreams that start again and are cut off by turns, also from one holder
 /// only, and with new holders.
-void PlayRestartsAndCuts(unsigned seed) {
+void PlayRestartsAndCuts(unsigned seed, bool resets_connections) {
   CAPTURE(seed);
   std::mt19937 random(seed);
   const auto draw = [&](int most) {
     return std::uniform_int_distribution<int>(0, most - 1)(random);
   };
   SchedulerSimulation simulation({.upstreams = 5, .seed = seed});
-  simulation.task_duration = Milliseconds(3000);
+  simulation.task_duration = Milliseconds(8000);
   simulation.lost_answer_share = 0.05;
+  simulation.resets_connections = resets_connections;
   for (int round = 0; round < 60; ++round) {
     simulation.Submit(
-        simulation.Spec("job" + std::to_string(round), {Step(1 + draw(6), 500 + draw(2000))}),
+        simulation.Spec("job" + std::to_string(round), {Step(1 + draw(3), 500 + draw(1000))}),
         test_policy);
     simulation.dark_order_delay = Milliseconds(draw(2) * draw(3000));
     simulation.answer_time = Milliseconds(10 + draw(2) * draw(500));
     FakeUpstream& upstream = *simulation.upstreams[draw(5)];
     switch (draw(6)) {
       case 0:
-        upstream.dark = true;
+        upstream.GoDark();
         break;
       case 1:
       case 2:
-        // Clocks begin anywhere.
-        if (upstream.dark) {
-          upstream.Restart(simulation.now, simulation.now.count(), Milliseconds(draw(60000)));
-          upstream.reachable = true;
+        if (!upstream.dark) {
+          upstream.GoDark();
+          simulation.Run(Milliseconds(100 + draw(600)));
         }
+        // Clocks begin anywhere.
+        upstream.Restart(simulation.now, simulation.now.count(), Milliseconds(draw(60000)));
+        upstream.reachable = true;
+        simulation.Run(Milliseconds(draw(2000)));
+        upstream.reachable = draw(3) == 0;
         break;
       case 3:
         upstream.reachable = !upstream.reachable;
@@ -237,7 +265,12 @@
 
 // Guards against the same under combinations of restarts, cuts, late answers and failovers.
 TEST_CASE("no task runs twice when upstreams start again and are cut off") {
-  for (unsigned seed = 1; seed <= 200; ++seed) PlayRestartsAndCuts(seed);
+  for (unsigned seed = 1; seed <= 200; ++seed) PlayRestartsAndCuts(seed, true);
+}
+
+// Guards against the same if orders that were given up are executed by the next incarnation.
+TEST_CASE("no task runs twice when a next incarnation executes orders that were given up") {
+  for (unsigned seed = 1; seed <= 200; ++seed) PlayRestartsAndCuts(seed, false);
 }
 
 }  // namespace
--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -41,7 +41,7 @@
   bool reachable = true;                ///< From the current holder.
   bool reachable_by_old_holder = true;  ///< From the previous holder while it still runs.
   bool alive = true;
-  /// Down, with its connections open: orders that are sent to it reach its next incarnation.
+  /// Down, see GoDark. Orders that are sent to it reach its next incarnation.
   bool dark = false;
   bool fails_all = false;
   std::set<JobId> failing_jobs;   ///< Jobs whose tasks fail.
@@ -66,6 +66,12 @@
 
   std::int64_t ClockAt(Milliseconds now) const { return (now - m_start_time).count(); }
 
+  /// Ends all its runs, with the connections left open, until it restarts.
+  void GoDark() {
+    running.clear();
+    dark = true;
+  }
+
   /// @param clock time of its clock when it starts again.
   void Restart(Milliseconds now, std::int64_t start_time, Milliseconds clock = Milliseconds{0}) {
     running.clear();
@@ -324,6 +330,8 @@
   Milliseconds answer_time{10};    ///< From an order to its answer, unless that is lost.
   /// Minimum time from an order to a dark upstream until the next incarnation executes it.
   Milliseconds dark_order_delay{0};
+  /// Orders to a dark upstream are lost when they are given up, as their connection is reset then.
+  bool resets_connections = true;
   Milliseconds task_duration{500};
   Milliseconds now{1000};
   std::uint64_t epoch = 1;
@@ -350,6 +358,7 @@
     std::uint64_t epoch = 0;  ///< Of its holder.
     Milliseconds at{0};
     bool after_dark = false;  ///< Waits until the upstream isn't dark any more.
+    Milliseconds given_up_at = Milliseconds::max();
   };
 
   static constexpr Milliseconds kStep{10};
@@ -382,6 +391,7 @@
     if (now.count() % m_options.registry_interval.count() == 0) PublishRegistry();
     std::vector<DelayedOrder> due;
     std::erase_if(m_delayed_orders, [&](const DelayedOrder& delayed) {
+      if (resets_connections && delayed.given_up_at <= now) return true;
       if (delayed.at > now || (delayed.after_dark && Find(UpstreamOf(delayed.order))->dark)) {
         return false;
       }
@@ -452,6 +462,11 @@
     return std::visit([](const auto& each) { return each.upstream; }, order);
   }
 
+  static Milliseconds TimeoutOf(const UpstreamOrder& order) {
+    const auto* const renew = std::get_if<RenewOrder>(&order);
+    return kAnswerTimeout + (renew == nullptr ? Milliseconds{0} : renew->wait);
+  }
+
   static std::uint64_t TokenOf(const UpstreamOrder& order) {
     return std::visit([](const auto& each) { return each.target.fencing_token; }, order);
   }
@@ -486,7 +501,8 @@
         m_delayed_orders.push_back({.order = order,
                                     .epoch = holder_epoch,
                                     .at = now + dark_order_delay,
-                                    .after_dark = true});
+                                    .after_dark = true,
+                                    .given_up_at = now + TimeoutOf(order)});
         if (!std::holds_alternative<RenewOrder>(order)) {
           Answer(scheduler, order, {}, kAnswerTimeout);
           continue;
