--- a/src/job_scheduler.h
+++ b/src/job_scheduler.h
@@ -198,6 +198,9 @@
 
   // job_scheduler_upstreams.cc
   UpstreamSession* FindSession(const UpstreamId& id);
+  void DropRun(UpstreamSession* session, const TaskKey& task, const char* cause, Milliseconds now);
+  void HandleLeaseEnd(UpstreamSession* session, Milliseconds now);
+  // job_scheduler_incarnations.cc
   void HandleNewIncarnation(UpstreamSession* session, std::int64_t start_time, Milliseconds now);
   /// Gives the session's next incarnation a fencing token of its own, or keeps orders from it until
   /// those for the former one have expired.
@@ -208,8 +211,6 @@
   /// this holder can't reach.
   Milliseconds InheritedLeaseEnd(const UpstreamSession& session) const;
   void StopUnansweredStarts(UpstreamSession* session, Milliseconds now);
-  void DropRun(UpstreamSession* session, const TaskKey& task, const char* cause, Milliseconds now);
-  void HandleLeaseEnd(UpstreamSession* session, Milliseconds now);
   // job_scheduler_run_lists.cc
   void ProcessEndedRows(UpstreamSession* session, const std::vector<EndedRow>& rows,
                         Milliseconds now);
