--- a/tests/job_node_test.cc
+++ b/tests/job_node_test.cc
@@ -90,12 +90,13 @@
     callbacks.call_store = [this](const StoreCall& call, Milliseconds,
                                   const StoreCallback& callback) { store.Call(call, callback); };
     callbacks.call_machines = [](const MachineCall&, Milliseconds, const auto&) {};
-    callbacks.send_renew = [this](const Endpoint&, std::uint64_t, const RenewOrder& order,
+    callbacks.send_renew = [this](const Endpoint&, std::uint64_t token, const RenewOrder& order,
                                   Milliseconds, const std::function<void(RenewReply)>& done) {
       renewed.push_back(order);
+      tokens.push_back(token);
       loop.After(Milliseconds(5), [this, done] {
         RenewReply reply{.outcome = OrderOutcome::kDone, .clock = clock.Now().count()};
-        reply.start_time = 1;
+        reply.start_time = start_time;
         done(reply);
       });
     };
@@ -138,7 +139,9 @@
   Clock clock;
   FakeStore store;
   std::vector<RenewOrder> renewed;
-  int starts = 0;  ///< Start orders that were sent.
+  std::vector<std::uint64_t> tokens;  ///< Fencing tokens of these orders.
+  std::int64_t start_time = 1;        ///< Of the upstream.
+  int starts = 0;                     ///< Start orders that were sent.
   std::optional<JobNode> node;
 };
 
@@ -171,6 +174,17 @@
           .policy = test_policy};
 }
 
+// Guards against orders whose fencing token is that of a former incarnation.
+TEST_CASE("orders carry a higher fencing token once their upstream has started again") {
+  NodeFixture fixture(21990);
+  fixture.loop.After(Milliseconds(500), [&] { fixture.start_time = 2; });
+  fixture.loop.After(Milliseconds(1500), [&] { fixture.loop.Stop(); });
+  fixture.loop.Run();
+  REQUIRE_FALSE(fixture.tokens.empty());
+  CHECK(GenerationOfEpoch(fixture.tokens.front()) > 0);
+  CHECK(fixture.tokens.back() == fixture.tokens.front() + 1);
+}
+
 // Guards against refusing a job at its caller's deadline although its append may still be stored,
 // in which case the job runs.
 TEST_CASE("a submission whose append is unanswered at the deadline is answered as uncertain") {
