--- a/tests/former_incarnation_test.cc
+++ b/tests/former_incarnation_test.cc
@@ -59,8 +59,7 @@
   SchedulerSimulation simulation;
 };
 
-// Guards against a task that is restarted while its upstream, cut off, has a longer lease than it
-// was given: one from a start for its former incarnation.
+// Guards against a task that starts elsewhere while its upstream, cut off, still has a lease.
 TEST_CASE("a lease from an order for a former incarnation is waited for") {
   RestartedUpstream test({.upstreams = 2});
   test.StartWhileDark();
@@ -70,7 +69,7 @@
   CHECK(test.FirstViolation() == "");
 }
 
-// Guards against the same with a start that is executed seconds after the first run list.
+// Guards against a lease that a start sets seconds after the first run list.
 TEST_CASE("an order for a former incarnation is refused once the new one has answered") {
   RestartedUpstream test({.upstreams = 2});
   test.simulation.dark_order_delay = kOutage + Milliseconds(3000);
@@ -144,7 +143,7 @@
   CHECK(test.FirstViolation() == "");
 }
 
-// Guards against records that builds before and after a further field can't exchange.
+// Guards against records that earlier and later builds can't read.
 TEST_CASE("a stored upstream is read without its incarnation, and with fields of a later build") {
   const auto decode = [](const std::string& value) {
     const JobStoreRecord record =
@@ -179,8 +178,7 @@
   CHECK(test.FirstViolation() == "");
 }
 
-// Guards against a stop that the former incarnation has confirmed, while the run starts on the new
-// one.
+// Guards against a run that starts although a stop was confirmed, by the former incarnation.
 TEST_CASE("a stop that a former incarnation has confirmed doesn't count for the new one") {
   RestartedUpstream test({.upstreams = 2, .registry_interval = Milliseconds(10)});
   test.simulation.delayed_order_share = 1;
