Drop requests that outlive their call, also when their sender can't

Cause: only the sender's own reset kept a request that was given up from arriving later. A process that is paused or killed can't reset, and a call was checked for its timeout only when it got a connection, not when that was established.

Change, for every connection of the HTTP client (upstreams, store, instance platform): - a request whose connection is established after the call's timeout, by the clock that counts suspensions, is discarded and reported as not sent; - a request on an open connection is written by the call itself, not by the loop's next pass; - SO_LINGER with 0 s from the start: the operating system resets the connections of a process that ends, however it ends; - TCP_USER_TIMEOUT of the call's timeout: it also resets a connection that the peer's host doesn't acknowledge in that time, while the process is paused too.

An order therefore leaves a paused or killed sender at most its timeout after it was given. What an upstream does with it later is bounded by kMaxOrderDelayMs as before.

--- a/src/async_http.cc
+++ b/src/async_http.cc
@@ -47,6 +47,15 @@
   }
 }
 
+/// Runs `change` on a connection's output, whose front bufferevent protects from other writers.
+template <typename Change>
+void ChangeFront(evbuffer* output, Change change) {
+  constexpr int kAtFront = 1;
+  evbuffer_unfreeze(output, kAtFront);
+  change();
+  evbuffer_freeze(output, kAtFront);
+}
+
 std::string TakeBody(evbuffer* buffer) {
   std::string body(evbuffer_get_length(buffer), '\0');
   evbuffer_remove(buffer, body.data(), body.size());
@@ -91,6 +100,9 @@
   evhttp_connection* handle = nullptr;
   evhttp_request* request = nullptr;
   std::unique_ptr<Pending> pending;
+  bool connecting = false;       ///< The request waits for the connection to be established.
+  bool discards_output = false;  ///< It was established after the call's timeout.
+  Milliseconds unacknowledged_limit{0};  ///< See SetUnacknowledgedLimit.
 };
 
 struct AsyncHttpClient::Peer {
@@ -190,6 +202,8 @@
       connection->handle = evhttp_connection_base_new(
           m_loop->base(), nullptr, peer->endpoint.address.c_str(), peer->endpoint.port);
       evhttp_connection_set_timeout(connection->handle, kLibeventTimeoutS);
+      bufferevent* const stream = evhttp_connection_get_bufferevent(connection->handle);
+      evbuffer_add_cb(bufferevent_get_output(stream), &AsyncHttpClient::OnOutput, connection.get());
       idle = connection.get();
       peer->connections.push_back(std::move(connection));
       ++m_connections_opened;
@@ -222,17 +236,60 @@
   // The output buffer stays empty until the connection is established.
   pending->unsent = message.body.size();
   connection->pending = std::move(pending);
+  // An idle connection that the peer has closed is established anew.
+  bufferevent* const stream = evhttp_connection_get_bufferevent(connection->handle);
+  connection->connecting = bufferevent_getfd(stream) < 0;
   const evhttp_cmd_type command = CommandOf(connection->pending->request.method);
-  if (evhttp_make_request(connection->handle, request, command, target.c_str()) == 0) return;
+  if (evhttp_make_request(connection->handle, request, command, target.c_str()) == 0) {
+    ConfigureSocket(connection);
+    if (!connection->connecting) WriteNow(connection);
+    return;
+  }
   // On failure libevent has freed the request, or won't call back for it.
   connection->request = nullptr;
-  m_loop->After(Milliseconds{0}, [this, peer, connection, raw = connection->pending.get()] {
+  FinishLater(connection, CallFailure::kNotSent, "connection failed");
+}
+
+/// Bounds how long the operating system sends a request when this process can't reset the
+/// connection any more, because it is paused or was killed.
+void AsyncHttpClient::ConfigureSocket(Connection* connection) {
+  const int fd = bufferevent_getfd(evhttp_connection_get_bufferevent(connection->handle));
+  if (fd < 0) return;
+  if (connection->connecting) ResetOnClose(fd);
+  const Milliseconds limit = connection->pending->timeout;
+  if (!connection->connecting && connection->unacknowledged_limit == limit) return;
+  connection->unacknowledged_limit = limit;
+  SetUnacknowledgedLimit(fd, limit);
+}
+
+/// Otherwise the loop would write the request, after a pause of the process if one begins before.
+void AsyncHttpClient::WriteNow(Connection* connection) {
+  bufferevent* const stream = evhttp_connection_get_bufferevent(connection->handle);
+  evbuffer* const output = bufferevent_get_output(stream);
+  // On an error the loop's write fails too, and ends the call.
+  ChangeFront(output, [&] { evbuffer_write(output, bufferevent_getfd(stream)); });
+}
+
+/// libevent writes a request to the output once the connection is established.
+void AsyncHttpClient::OnOutput(evbuffer* output, const evbuffer_cb_info* change, void* argument) {
+  auto* const connection = static_cast<Connection*>(argument);
+  if (change->n_added == 0 || connection->pending == nullptr) return;
+  if (std::exchange(connection->connecting, false) &&
+      connection->client->IsOverdue(*connection->pending)) {
+    connection->discards_output = true;
+    connection->client->FinishLater(connection, CallFailure::kNotSent, "connected too late");
+  }
+  if (!connection->discards_output) return;
+  ChangeFront(output, [&] { evbuffer_drain(output, evbuffer_get_length(output)); });
+}
+
+void AsyncHttpClient::FinishLater(Connection* connection, CallFailure failure, const char* detail) {
+  m_loop->After(Milliseconds{0}, [this, peer = connection->peer, connection,
+                                  raw = connection->pending.get(), failure, detail] {
     const bool alive = std::any_of(peer->connections.begin(), peer->connections.end(),
                                    [&](const auto& each) { return each.get() == connection; });
     if (!alive || connection->pending.get() != raw) return;
-    Finish(
-        connection,
-        {.reply = std::nullopt, .failure = CallFailure::kNotSent, .detail = "connection failed"});
+    Finish(connection, {.reply = std::nullopt, .failure = failure, .detail = detail});
   });
 }
 
@@ -241,18 +298,7 @@
   if (connection->pending == nullptr) return;
   connection->request = nullptr;
   if (request == nullptr || evhttp_request_get_response_code(request) == 0) {
-    // A connection must not be freed inside its own callback.
-    AsyncHttpClient* const client = connection->client;
-    Peer* const peer = connection->peer;
-    Pending* const raw = connection->pending.get();
-    client->m_loop->After(Milliseconds{0}, [client, peer, connection, raw] {
-      const bool alive = std::any_of(peer->connections.begin(), peer->connections.end(),
-                                     [&](const auto& each) { return each.get() == connection; });
-      if (!alive || connection->pending.get() != raw) return;
-      client->Finish(connection, {.reply = std::nullopt,
-                                  .failure = CallFailure::kNoAnswer,
-                                  .detail = "connection closed"});
-    });
+    connection->client->FinishLater(connection, CallFailure::kNoAnswer, "connection closed");
     return;
   }
   HttpReply reply{.status = evhttp_request_get_response_code(request),
--- a/src/async_http.h
+++ b/src/async_http.h
@@ -11,6 +11,8 @@
 #include "endivewood_p.h"
 #include "event_loop.h"
 
+struct evbuffer;
+struct evbuffer_cb_info;
 struct evhttp;
 struct evhttp_request;
 
@@ -27,8 +29,8 @@
   std::size_t max_connections = 4;
   /// Time after which an idle connection is closed.
   Milliseconds idle_timeout{30000};
-  /// Counts suspended time, unlike the loop's timers. With it, a call that waits for a connection
-  /// isn't sent after its timeout, even if the process was paused meanwhile.
+  /// Counts suspended time, unlike the loop's timers. With it, a call isn't sent after its timeout,
+  /// even if the process was paused while the call waited for its connection.
   const Clock* clock = nullptr;
 };
 
@@ -43,7 +45,8 @@
   /// Sends one request. The callback runs exactly once, after this has returned. A call fails with
   /// a timeout, and its connection is closed, once it has made no progress for `timeout`, or at the
   /// latest after kMaxTransferTimeouts times as long. A late answer is therefore never taken for
-  /// the answer to another call, and a large one isn't cut while it arrives.
+  /// the answer to another call, and a large one isn't cut while it arrives. A request that the
+  /// peer's host hasn't acknowledged within `timeout`, or when this process ends, is dropped.
   void Call(const Endpoint& peer, HttpRequest request, Milliseconds timeout, Callback callback);
 
   /// Closes connections to peers that have not been called for the idle timeout.
@@ -63,9 +66,15 @@
   static bool MakesProgress(Connection* connection);
   void Dispatch(Peer* peer);
   void Send(Peer* peer, Connection* connection, std::unique_ptr<Pending> pending);
+  static void ConfigureSocket(Connection* connection);
+  static void WriteNow(Connection* connection);
+  /// Finishes the connection's call from the loop, unless it has ended by then. A connection must
+  /// not be freed inside its own callback.
+  void FinishLater(Connection* connection, CallFailure failure, const char* detail);
   void Finish(Connection* connection, HttpOutcome outcome);
   void Discard(Connection* connection);
   static void OnReply(evhttp_request* request, void* connection);
+  static void OnOutput(evbuffer* output, const evbuffer_cb_info* change, void* connection);
 
   EventLoop* m_loop;
   AsyncHttpClientOptions m_options;
--- a/src/socket_options.cc
+++ b/src/socket_options.cc
@@ -6,6 +6,8 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
+
 namespace endivewood {
 
 void SetTcpNoDelay(int fd) {
@@ -18,4 +20,10 @@
   setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
 }
 
+void SetUnacknowledgedLimit(int fd, Milliseconds limit) {
+  // 0 would mean the system's own limit, which is many minutes.
+  const auto milliseconds = static_cast<unsigned>(std::max<std::int64_t>(1, limit.count()));
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof(milliseconds));
+}
+
 }  // namespace endivewood
--- a/src/socket_options.h
+++ b/src/socket_options.h
@@ -2,6 +2,8 @@
 /// Socket options of connections.
 #pragma once
 
+#include <endivewood/endivewood.h>
+
 namespace endivewood {
 
 /// Disables Nagle's algorithm (TCP_NODELAY), so that small frames are sent at once.
@@ -12,4 +14,8 @@
 /// partition ends.
 void ResetOnClose(int fd);
 
+/// Resets the connection once sent data, or the connection attempt, hasn't been acknowledged for
+/// `limit` (TCP_USER_TIMEOUT). The operating system does so also while the process is paused.
+void SetUnacknowledgedLimit(int fd, Milliseconds limit);
+
 }  // namespace endivewood
