--- a/src/jobs.h
+++ b/src/jobs.h
@@ -153,6 +153,7 @@
 struct OrderTarget {
   std::uint64_t incarnation = 0;    ///< See UpstreamSession::incarnation.
   std::uint64_t fencing_token = 0;  ///< Rises with the holder and with the incarnation.
+  std::int64_t start_time = 0;      ///< As the incarnation states it; 0: not known.
 
   bool operator==(const OrderTarget&) const = default;
 };
--- a/src/upstream_session.h
+++ b/src/upstream_session.h
@@ -197,7 +197,7 @@
     return entry.start_time == 0 || start_time == 0 || entry.start_time == start_time;
   }
   OrderTarget Target() const {
-    return {.incarnation = incarnation, .fencing_token = fencing_token};
+    return {.incarnation = incarnation, .fencing_token = fencing_token, .start_time = start_time};
   }
 
   /// @returns whether it belongs to the capacity of its service.
