Send orders only to the incarnation for which they are meant

What callers saw: a task ran on two upstreams at once, after one of them had started again under its id and was cut off.

Cause: an order names its upstream by id only, so one that opens a connection after a restart reaches the next incarnation: it sets a lease of up to 10 s by the former clock, starts a run of which the holder knows nothing, or drops ends that nobody has read. The earlier fix waits for such a lease once the restart is known, from an answer, the registry or the stored record. In the trace none of them showed it before the upstream was cut off; the answer to the start was taken for the former incarnation's.

Change: a connection belongs to one process, so it reaches one incarnation or none. A start, a lease extension or an acknowledgement is sent only over a connection whose incarnation has stated the expected start time, in a run list or in the answer to a renewal that changes nothing, which is sent first on a new connection. Otherwise the order fails as not sent, and its task may start elsewhere at once. Carried orders name the start time too; earlier builds ignore it. Waiting for longer leases stays, for orders of such builds.

Ruled out: a wrong clock (the log shows the assumed lease end), a late start (the run began before the task was given up), another holder (one instance sent both starts).

Measured: order_incarnation_test, 7 of 8 cases failed before, none now; its ninth case is new.

--- a/src/async_http.cc
+++ b/src/async_http.cc
@@ -86,6 +86,7 @@
 struct AsyncHttpClient::Pending {
   HttpRequest request;
   Callback callback;
+  PeerProcess process;
   Milliseconds timeout{0};
   Milliseconds called_at{0};  ///< By AsyncHttpClientOptions::clock.
   EventLoop::TimerId timer = 0;
@@ -100,6 +101,8 @@
   evhttp_connection* handle = nullptr;
   evhttp_request* request = nullptr;
   std::unique_ptr<Pending> pending;
+  std::int64_t identity = 0;     ///< Of its process, see PeerProcess; 0: not known.
+  bool querying = false;         ///< The request is the query for the identity.
   bool connecting = false;       ///< The request waits for the connection to be established.
   bool discards_output = false;  ///< It was established after the call's timeout.
   Milliseconds unacknowledged_limit{0};  ///< See SetUnacknowledgedLimit.
@@ -121,7 +124,7 @@
 }
 
 void AsyncHttpClient::Call(const Endpoint& peer, HttpRequest request, Milliseconds timeout,
-                           Callback callback) {
+                           Callback callback, PeerProcess process) {
   auto& entry = m_peers[peer];
   if (!entry) {
     entry = std::make_unique<Peer>();
@@ -131,6 +134,7 @@
   auto pending = std::make_unique<Pending>();
   pending->request = std::move(request);
   pending->callback = std::move(callback);
+  pending->process = std::move(process);
   pending->timeout = timeout;
   if (m_options.clock != nullptr) pending->called_at = m_options.clock->Now();
   Pending* const raw = pending.get();
@@ -148,8 +152,9 @@
           m_loop->After(pending->timeout, [this, peer, pending] { Expire(peer, pending); });
       return;
     }
-    Finish(connection.get(),
-           {.reply = std::nullopt, .failure = CallFailure::kTimeout, .detail = "timeout"});
+    const CallFailure failure =
+        connection->querying ? CallFailure::kNotSent : CallFailure::kTimeout;
+    Finish(connection.get(), {.reply = std::nullopt, .failure = failure, .detail = "timeout"});
     return;
   }
   const auto waiting = std::find_if(peer->waiting.begin(), peer->waiting.end(),
@@ -188,42 +193,74 @@
   return (sending || receiving) && ++pending.timeouts < config::kMaxTransferTimeouts;
 }
 
+AsyncHttpClient::Connection* AsyncHttpClient::Connect(Peer* peer) {
+  auto connection = std::make_unique<Connection>();
+  connection->client = this;
+  connection->peer = peer;
+  connection->handle = evhttp_connection_base_new(
+      m_loop->base(), nullptr, peer->endpoint.address.c_str(), peer->endpoint.port);
+  evhttp_connection_set_timeout(connection->handle, kLibeventTimeoutS);
+  bufferevent* const stream = evhttp_connection_get_bufferevent(connection->handle);
+  evbuffer_add_cb(bufferevent_get_output(stream), &AsyncHttpClient::OnOutput, connection.get());
+  peer->connections.push_back(std::move(connection));
+  ++m_connections_opened;
+  return peer->connections.back().get();
+}
+
+std::int64_t AsyncHttpClient::IdentityOf(const Connection& connection) {
+  const bool connected =
+      bufferevent_getfd(evhttp_connection_get_bufferevent(connection.handle)) >= 0;
+  return connected ? connection.identity : 0;
+}
+
+AsyncHttpClient::Connection* AsyncHttpClient::ConnectionFor(Peer* peer, const Pending& pending) {
+  const std::int64_t identity = pending.process.identity;
+  Connection* idle = nullptr;
+  std::vector<Connection*> of_other_processes;
+  for (const auto& connection : peer->connections) {
+    if (connection->pending != nullptr) continue;
+    const std::int64_t known = IdentityOf(*connection);
+    if (identity != 0 && known == identity) return connection.get();
+    if (identity != 0 && known != 0) {
+      of_other_processes.push_back(connection.get());
+    } else {
+      idle = connection.get();
+    }
+  }
+  if (idle != nullptr) return idle;
+  // Their processes may have ended without a reset.
+  for (Connection* const connection : of_other_processes) Discard(connection);
+  return peer->connections.size() < m_options.max_connections ? Connect(peer) : nullptr;
+}
+
 void AsyncHttpClient::Dispatch(Peer* peer) {
   while (!peer->waiting.empty()) {
-    Connection* idle = nullptr;
-    for (const auto& connection : peer->connections) {
-      if (connection->pending == nullptr) idle = connection.get();
-    }
-    if (idle == nullptr) {
-      if (peer->connections.size() >= m_options.max_connections) return;
-      auto connection = std::make_unique<Connection>();
-      connection->client = this;
-      connection->peer = peer;
-      connection->handle = evhttp_connection_base_new(
-          m_loop->base(), nullptr, peer->endpoint.address.c_str(), peer->endpoint.port);
-      evhttp_connection_set_timeout(connection->handle, kLibeventTimeoutS);
-      bufferevent* const stream = evhttp_connection_get_bufferevent(connection->handle);
-      evbuffer_add_cb(bufferevent_get_output(stream), &AsyncHttpClient::OnOutput, connection.get());
-      idle = connection.get();
-      peer->connections.push_back(std::move(connection));
-      ++m_connections_opened;
+    if (IsOverdue(*peer->waiting.front())) {
+      FailUnsent(std::move(peer->waiting.front()), "sent too late");
+      peer->waiting.pop_front();
+      continue;
     }
+    Connection* const connection = ConnectionFor(peer, *peer->waiting.front());
+    if (connection == nullptr) return;
     std::unique_ptr<Pending> next = std::move(peer->waiting.front());
     peer->waiting.pop_front();
-    if (IsOverdue(*next)) {
-      FailUnsent(std::move(next), "sent too late");
-      continue;
-    }
-    Send(peer, idle, std::move(next));
+    Send(connection, std::move(next));
   }
 }
 
-void AsyncHttpClient::Send(Peer* peer, Connection* connection, std::unique_ptr<Pending> pending) {
-  const HttpRequest& message = pending->request;
+void AsyncHttpClient::Send(Connection* connection, std::unique_ptr<Pending> pending) {
+  connection->identity = IdentityOf(*connection);
+  connection->querying = pending->process.identity != 0 && connection->identity == 0;
+  connection->pending = std::move(pending);
+  const Pending& call = *connection->pending;
+  Transmit(connection, connection->querying ? call.process.query() : call.request);
+}
+
+void AsyncHttpClient::Transmit(Connection* connection, const HttpRequest& message) {
   evhttp_request* const request = evhttp_request_new(&AsyncHttpClient::OnReply, connection);
   evkeyvalq* const headers = evhttp_request_get_output_headers(request);
   if (message.Header("Host").empty()) {
-    evhttp_add_header(headers, "Host", peer->endpoint.str().c_str());
+    evhttp_add_header(headers, "Host", connection->peer->endpoint.str().c_str());
   }
   for (const HttpHeader& header : message.headers) {
     evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
@@ -234,12 +271,12 @@
   m_traffic.sent += SizeOf(target.size(), message.headers, message.body);
   connection->request = request;
   // The output buffer stays empty until the connection is established.
-  pending->unsent = message.body.size();
-  connection->pending = std::move(pending);
+  connection->pending->unsent = message.body.size();
+  connection->pending->received = 0;
   // An idle connection that the peer has closed is established anew.
   bufferevent* const stream = evhttp_connection_get_bufferevent(connection->handle);
   connection->connecting = bufferevent_getfd(stream) < 0;
-  const evhttp_cmd_type command = CommandOf(connection->pending->request.method);
+  const evhttp_cmd_type command = CommandOf(message.method);
   if (evhttp_make_request(connection->handle, request, command, target.c_str()) == 0) {
     ConfigureSocket(connection);
     if (!connection->connecting) WriteNow(connection);
@@ -298,7 +335,9 @@
   if (connection->pending == nullptr) return;
   connection->request = nullptr;
   if (request == nullptr || evhttp_request_get_response_code(request) == 0) {
-    connection->client->FinishLater(connection, CallFailure::kNoAnswer, "connection closed");
+    const CallFailure failure =
+        connection->querying ? CallFailure::kNotSent : CallFailure::kNoAnswer;
+    connection->client->FinishLater(connection, failure, "connection closed");
     return;
   }
   HttpReply reply{.status = evhttp_request_get_response_code(request),
@@ -306,11 +345,30 @@
                   .body = TakeBody(evhttp_request_get_input_buffer(request))};
   connection->client->m_traffic.received += SizeOf(0, reply.headers, reply.body);
   RunGuarded("http-reply", [&] {
+    if (!connection->client->HandleIdentity(connection, reply)) return;
     connection->client->Finish(
         connection, {.reply = std::move(reply), .failure = CallFailure::kNoAnswer, .detail = ""});
   });
 }
 
+bool AsyncHttpClient::HandleIdentity(Connection* connection, const HttpReply& reply) {
+  constexpr int kOk = 200;
+  const Pending& call = *connection->pending;
+  if (connection->identity == 0 && call.process.identity_of) {
+    connection->identity = call.process.identity_of(reply);
+  }
+  if (!std::exchange(connection->querying, false) || reply.status != kOk) return true;
+  // The reply may also have closed the connection.
+  if (IdentityOf(*connection) != call.process.identity) {
+    FinishLater(connection, CallFailure::kNotSent, "another process answers");
+  } else if (IsOverdue(call)) {
+    FinishLater(connection, CallFailure::kNotSent, "sent too late");
+  } else {
+    Transmit(connection, call.request);
+  }
+  return false;
+}
+
 void AsyncHttpClient::Finish(Connection* connection, HttpOutcome outcome) {
   const std::unique_ptr<Pending> pending = std::move(connection->pending);
   Peer* const peer = connection->peer;
--- a/src/async_http.h
+++ b/src/async_http.h
@@ -2,6 +2,7 @@
 /// Asynchronous HTTP/1.1 client and server on one event loop, on libevent.
 #pragma once
 
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
@@ -34,6 +35,18 @@
   const Clock* clock = nullptr;
 };
 
+/// Restricts a call to one process at the peer's address, which may have been replaced by another
+/// one without the caller's knowledge. A connection never changes its process.
+struct PeerProcess {
+  /// Names the process; 0: any process may get the call.
+  std::int64_t identity = 0;
+  /// Creates a request without effect that is sent first on a connection whose process isn't known.
+  /// If it is rejected, the rejection is the call's reply.
+  std::function<HttpRequest()> query;
+  /// @returns the identity that a reply states; 0: none.
+  std::function<std::int64_t(const HttpReply&)> identity_of;
+};
+
 /// HTTP client that keeps connections to its peers open and reuses them.
 class AsyncHttpClient {
  public:
@@ -47,7 +60,10 @@
   /// latest after kMaxTransferTimeouts times as long. A late answer is therefore never taken for
   /// the answer to another call, and a large one isn't cut while it arrives. A request that the
   /// peer's host hasn't acknowledged within `timeout`, or when this process ends, is dropped.
-  void Call(const Endpoint& peer, HttpRequest request, Milliseconds timeout, Callback callback);
+  /// @param process a call that is meant for another process than the one that answers at the
+  /// peer's address fails as not sent.
+  void Call(const Endpoint& peer, HttpRequest request, Milliseconds timeout, Callback callback,
+            PeerProcess process = {});
 
   /// Closes connections to peers that have not been called for the idle timeout.
   void CloseIdle(Milliseconds now);
@@ -65,7 +81,17 @@
   void FailUnsent(std::unique_ptr<Pending> pending, const char* detail);
   static bool MakesProgress(Connection* connection);
   void Dispatch(Peer* peer);
-  void Send(Peer* peer, Connection* connection, std::unique_ptr<Pending> pending);
+  Connection* Connect(Peer* peer);
+  /// @returns the identity of the connection's process; 0: not known, or not connected.
+  static std::int64_t IdentityOf(const Connection& connection);
+  /// @returns an idle or new connection that may carry the call, or nullptr.
+  Connection* ConnectionFor(Peer* peer, const Pending& pending);
+  void Send(Connection* connection, std::unique_ptr<Pending> pending);
+  void Transmit(Connection* connection, const HttpRequest& message);
+  /// Notes the identity that the reply states. After a query, sends the call if it is meant for
+  /// that process.
+  /// @returns whether the reply is that of the call.
+  bool HandleIdentity(Connection* connection, const HttpReply& reply);
   static void ConfigureSocket(Connection* connection);
   static void WriteNow(Connection* connection);
   /// Finishes the connection's call from the loop, unless it has ended by then. A connection must
--- a/src/node_calls.cc
+++ b/src/node_calls.cc
@@ -62,7 +62,7 @@
   for (const std::string_view payload : payloads) packer->pack(payload);
   packer->pack_array(static_cast<std::uint32_t>(batch.orders.size()));
   for (const CarriedOrder& each : batch.orders) {
-    packer->pack_array(7);
+    packer->pack_array(8);
     packer->pack(each.id);
     packer->pack(each.upstream);
     packer->pack(each.fencing_token);
@@ -70,6 +70,7 @@
     packer->pack(positions.at(payload_of(each)));
     packer->pack(static_cast<int>(each.order.index()));
     std::visit([&](const auto& order) { packer->pack(order); }, each.order);
+    packer->pack(std::visit([](const auto& order) { return order.target.start_time; }, each.order));
   }
 }
 
@@ -85,6 +86,12 @@
     if (auto* start = std::get_if<StartOrder>(&*order)) {
       start->payload = payloads.at(fields.at(4).as<std::size_t>());
     }
+    // Earlier builds don't name the incarnation.
+    constexpr std::size_t kStartTimeField = 7;
+    if (fields.size() > kStartTimeField) {
+      const auto start_time = fields[kStartTimeField].as<std::int64_t>();
+      std::visit([&](auto& each) { each.target.start_time = start_time; }, *order);
+    }
     batch.orders.push_back({.id = fields.at(0).as<std::uint64_t>(),
                             .upstream = fields.at(1).as<Endpoint>(),
                             .fencing_token = fields.at(2).as<std::uint64_t>(),
--- a/tests/order_carrier_test.cc
+++ b/tests/order_carrier_test.cc
@@ -109,7 +109,8 @@
                      .task = {.job = JobId("0123456789abcdef"), .index = number},
                      .run = 7,
                      .payload = payload,
-                     .lease_until = 99};
+                     .lease_until = 99,
+                     .target = {.start_time = 1796584500000}};
     batch.orders.push_back({.id = static_cast<std::uint64_t>(10 + number),
                             .upstream = At(1),
                             .fencing_token = 300,
@@ -149,6 +150,7 @@
     CHECK(start.task.index == number);
     CHECK(start.run == 7);
     CHECK(start.lease_until == 99);
+    CHECK(start.target.start_time == 1796584500000);
   }
   const auto& renew = std::get<RenewOrder>(batch.orders.back().order);
   CHECK(renew.lease_until == 5);
--- a/tests/order_incarnation_test.cc
+++ b/tests/order_incarnation_test.cc
@@ -40,6 +40,7 @@
   int extensions = 0;        ///< Renewals that set a lease end.
   int acknowledgements = 0;  ///< Renewals that acknowledge ended runs.
   int status_of_renewals = 200;
+  bool closes_after_renewals = false;
 
  private:
   HttpReply Answer(const HttpRequest& request) {
@@ -53,7 +54,9 @@
       answer["born"] = m_start_time;
       answer["running"] = nlohmann::json::array();
       answer["ended"] = nlohmann::json::array();
-      return {.status = status_of_renewals, .headers = {}, .body = answer.dump()};
+      HttpReply reply{.status = status_of_renewals, .headers = {}, .body = answer.dump()};
+      if (closes_after_renewals) reply.headers.push_back({"Connection", "close"});
+      return reply;
     }
     return {.status = 200, .headers = {}, .body = answer.dump()};
   }
@@ -193,5 +196,13 @@
   CHECK(test.upstream().starts == 0);
 }
 
+// Guards against a start over a connection that is made after the answer to the question.
+TEST_CASE("a start isn't sent if its connection is closed after the question") {
+  SentOrders test;
+  test.upstream().closes_after_renewals = true;
+  CHECK(test.Start(kPresentStart) == OrderOutcome::kNotSent);
+  CHECK(test.upstream().starts == 0);
+}
+
 }  // namespace
 }  // namespace endivewood::testing
