Tell the next incarnation of an upstream by its answers, not by a later start time

An incarnation with a lower one than its predecessor was taken for that one's outdated record. And leases set by orders for a former incarnation counted only up to 25 s after the stated start, which may be long past.

Change: - An answer that states another start time comes from the next incarnation, whatever the time: answers count only for orders that were given since the present incarnation was noticed, when all former ones had ended. - A registry entry may be outdated. The start times of former incarnations are remembered and ignored; an unknown lower one only shows where to call an upstream that doesn't answer. - Orders for a former incarnation are waited out from the time at which a holder noticed the restart, by its own clock (kMaxOrderDelayMs, then the longest lease). After that the upstream's stored record says so, for later holders; kFormerOrdersMs is gone.

What remains: whether an acknowledgement without an answer reached the former incarnation is still decided by comparing its sending time with the stated start time (HandleNewIncarnation).

--- a/src/config.h
+++ b/src/config.h
@@ -323,11 +323,6 @@
 /// "seconds"; delays of up to 12 s occur.
 inline constexpr std::int64_t kMaxOrderDelayMs = 15000;
 
-/// Milliseconds from the start of an incarnation, as stated by the upstream, after which no order
-/// for a former one is executed any more: kMaxOrderDelayMs, the time in which a holder notices the
-/// restart (a renewal that waits, and its timeout), and a difference of 7 s between the clocks.
-inline constexpr std::int64_t kFormerOrdersMs = 25000;
-
 /// Milliseconds before an unanswered stop order is sent again.
 inline constexpr std::int64_t kStopRetryMs = 300;
 
--- a/src/job.h
+++ b/src/job.h
@@ -192,7 +192,7 @@
   /// Start time of the incarnation that may be running tasks; 0 when not known. Records of earlier
   /// builds lack this and the next field.
   std::int64_t start_time = 0;
-  bool follows_incarnation = false;  ///< The holder had used a former incarnation.
+  bool follows_incarnation = false;  ///< The holder had used a former one until recently.
 
   bool operator==(const UpstreamRecord&) const = default;
 };
--- a/src/job_scheduler.cc
+++ b/src/job_scheduler.cc
@@ -99,7 +99,11 @@
   }
   m_restored_progress.clear();
   m_inherited_lease_end = inherited_lease_end;
-  for (auto& [id, session] : m_sessions) session.inherited_lease_end = InheritedLeaseEnd(session);
+  for (auto& [id, session] : m_sessions) {
+    session.inherited_lease_end = InheritedLeaseEnd(session);
+    // The restart may have been noticed just before the former holder ended.
+    session.former_orders_until = now + Milliseconds(config::kMaxOrderDelayMs);
+  }
   m_no_moves_before = now + Milliseconds(config::kNewHolderMoveDelayMs);
   m_inherited_pending = !m_sessions.empty();
   if (!m_inherited_pending) ResolveInheritedTasks(now, now);
--- a/src/job_scheduler.h
+++ b/src/job_scheduler.h
@@ -202,6 +202,9 @@
   void HandleLeaseEnd(UpstreamSession* session, Milliseconds now);
   // job_scheduler_incarnations.cc
   void HandleNewIncarnation(UpstreamSession* session, std::int64_t start_time, Milliseconds now);
+  /// @returns whether an upstream states another start time than the known incarnation. A lower one
+  /// may be that of the next incarnation, as the upstream's time of day may have been set back.
+  static bool IsOtherIncarnation(const UpstreamSession& session, std::int64_t start_time);
   /// Gives the session's next incarnation a fencing token of its own, or keeps orders from it until
   /// those for the former one have expired.
   void BeginIncarnation(UpstreamSession* session, Milliseconds now);
--- a/src/job_scheduler_incarnations.cc
+++ b/src/job_scheduler_incarnations.cc
@@ -9,9 +9,14 @@
 
 namespace endivewood {
 
+bool JobScheduler::IsOtherIncarnation(const UpstreamSession& session, std::int64_t start_time) {
+  return start_time != 0 && session.start_time != 0 && start_time != session.start_time;
+}
+
 void JobScheduler::BeginIncarnation(UpstreamSession* session, Milliseconds now) {
   ++session->incarnation;
   session->follows_incarnation = true;
+  session->former_orders_until = now + Milliseconds(config::kMaxOrderDelayMs);
   session->accepted_token = false;
   // The next holder has to know of the restart before a task is placed there.
   session->registered = false;
@@ -31,15 +36,13 @@
 }
 
 Milliseconds JobScheduler::FormerLeaseLimit(const UpstreamSession& session) const {
-  return Milliseconds(session.start_time) - m_unix_offset + Milliseconds(config::kFormerOrdersMs) +
-         LongestTimeOf(m_options.max_lease);
+  return session.former_orders_until + LongestTimeOf(m_options.max_lease);
 }
 
 Milliseconds JobScheduler::InheritedLeaseEnd(const UpstreamSession& session) const {
   if (!session.follows_incarnation) return m_inherited_lease_end;
-  const Milliseconds longer = LongestTimeOf(m_options.max_lease) - LongestTimeOf(m_options.lease);
-  return std::max(m_inherited_lease_end,
-                  std::min(m_inherited_lease_end + longer, FormerLeaseLimit(session)));
+  return m_inherited_lease_end + LongestTimeOf(m_options.max_lease) -
+         LongestTimeOf(m_options.lease);
 }
 
 void JobScheduler::HandleNewIncarnation(UpstreamSession* session, std::int64_t start_time,
@@ -69,6 +72,8 @@
       (session->renew_sent_at + m_unix_offset).count() < start_time;
   if (!reached_previous_incarnation) session->sent_cursor = session->previous_sent_cursor;
   DropUnacknowledgedFailures(session, now);
+  session->former_start_times.insert(session->start_time);
+  session->former_start_times.erase(start_time);
   session->start_time = start_time;
   // If the new incarnation has executed an order, its lease end was stated by the old clock.
   const Milliseconds in_flight_end = now + LongestTimeOf(m_options.max_lease);
--- a/src/job_scheduler_upstreams.cc
+++ b/src/job_scheduler_upstreams.cc
@@ -40,12 +40,16 @@
         BeginIncarnation(&session, now);
       }
     }
-    const bool newer =
-        entry.start_time != 0 && session.start_time != 0 && entry.start_time > session.start_time;
-    const bool older =
-        entry.start_time != 0 && session.start_time != 0 && entry.start_time < session.start_time;
-    if (older) continue;
-    if (newer) HandleNewIncarnation(&session, entry.start_time, now);
+    if (IsOtherIncarnation(session, entry.start_time)) {
+      const bool former = session.former_start_times.count(entry.start_time) > 0;
+      if (former || entry.start_time < session.start_time) {
+        // It may be outdated, or of a next incarnation that was started with its clock set back,
+        // which only an answer shows.
+        if (!former && session.unanswered > 0) session.entry.endpoint = entry.endpoint;
+        continue;
+      }
+      HandleNewIncarnation(&session, entry.start_time, now);
+    }
     const bool was_draining = session.entry.draining;
     session.entry = entry;
     if (session.start_time == 0) session.start_time = entry.start_time;
@@ -260,10 +264,9 @@
       m_next_due = std::min(m_next_due, session->next_renew);
       return;
   }
-  if (reply.start_time != 0 && session->start_time != 0 && reply.start_time < session->start_time)
-    return;
-  if (reply.start_time != 0 && session->start_time != 0 && reply.start_time > session->start_time) {
-    // The list that counts is the one read with the new fencing token.
+  if (IsOtherIncarnation(*session, reply.start_time)) {
+    // No former incarnation answers an order that was given after it had ended. The list that
+    // counts is the one read with the new fencing token.
     HandleNewIncarnation(session, reply.start_time, now);
     return;
   }
@@ -316,6 +319,10 @@
   std::erase_if(session->unanswered_starts, [&](const UpstreamSession::UnansweredStart& start) {
     return start.sent_at + Milliseconds(config::kMaxOrderDelayMs) <= now;
   });
+  if (session->follows_incarnation && FormerLeaseLimit(*session) <= now) {
+    session->follows_incarnation = false;
+    MarkDirty(UpstreamKey(session->entry.id), false);
+  }
   if (session->stops_unconfirmed && session->no_contact_before <= now) RepeatStops(session, now);
   const bool evacuate = session->entry.draining || session->released_until > now;
   if (evacuate && rights.move && now >= m_no_moves_before) EvacuateUpstream(session, now);
--- a/src/upstream_session.h
+++ b/src/upstream_session.h
@@ -114,6 +114,7 @@
   /// It has accepted this holder's fencing token, so no older holder can change its runs.
   bool fenced = false;
   std::int64_t start_time = 0;
+  std::set<std::int64_t> former_start_times;  ///< Of incarnations that this holder has seen.
   /// Number of incarnations before this one that this holder has seen.
   std::uint64_t incarnation = 0;
   /// Of orders for this incarnation, so that it refuses those for a former one from its first
@@ -124,10 +125,12 @@
   /// Latest lease end that any order for this incarnation, answered or not, may have set; by the
   /// remote clock.
   std::int64_t lease_until = 0;
-  /// Whether a holder has used a former incarnation. Orders for that one may have reached this one
-  /// before its first answer; they state times of another clock, so they may have set the longest
-  /// lease.
+  /// Whether a holder has used a former incarnation until recently. Orders for that one may have
+  /// reached this one before its first answer; they state times of another clock, so they may have
+  /// set the longest lease.
   bool follows_incarnation = false;
+  /// Time after which no order for a former incarnation is executed any more.
+  Milliseconds former_orders_until{0};
   bool accepted_token = false;  ///< This incarnation has accepted `fencing_token`.
   /// Latest lease end that orders for a former incarnation may have set; by the remote clock.
   std::int64_t former_lease_until = 0;
--- a/tests/upstream_clock_test.cc
+++ b/tests/upstream_clock_test.cc
@@ -156,5 +156,17 @@
   CHECK(test.FirstViolation() == "");
 }
 
+// Guards against an upstream that is called at the address of its former incarnation for good.
+TEST_CASE("an upstream that doesn't answer is called where its latest registry entry says") {
+  SetBackUpstream test;
+  const UpstreamId id = test.restarted().entry.id;
+  const Endpoint moved{.address = "127.0.0.1", .port = 2};
+  test.restarted().reachable = false;
+  test.Restart(kStep);
+  test.restarted().entry.endpoint = moved;
+  test.simulation.Run(Milliseconds(4000));
+  CHECK(test.simulation.holder->EndpointOf(id) == moved);
+}
+
 }  // namespace
 }  // namespace endivewood::testing
