Acknowledge only ends that haven't been acknowledged yet

Cause: each renewal repeated the last acknowledgement. One that is under way when its upstream starts again under its id reaches the next incarnation, whose ends have the same numbers.

Change: a renewal acknowledges something only if there are ends to acknowledge. Most renewals, and all that wait for an end, therefore carry none.

--- a/src/job_scheduler_upstreams.cc
+++ b/src/job_scheduler_upstreams.cc
@@ -346,7 +346,7 @@
 void JobScheduler::Renew(UpstreamSession* session, Milliseconds now, bool may_extend) {
   RenewOrder order{.upstream = session->entry.id,
                    .lease_until = std::nullopt,
-                   .acknowledge_up_to = session->stored_cursor,
+                   .acknowledge_up_to = 0,
                    .wait = Milliseconds{0},
                    .sent_at = now,
                    .target = session->Target()};
@@ -355,8 +355,9 @@
   // postpone the end of the lease indefinitely.
   const bool answered = session->unanswered == 0;
   // The order could reach a new incarnation, which would drop its own ended runs with these
-  // numbers.
-  if (!answered) order.acknowledge_up_to = 0;
+  // numbers. Only what is new is therefore acknowledged, and only after an answer.
+  const bool unacknowledged = session->stored_cursor > session->acknowledged_cursor;
+  if (answered && unacknowledged) order.acknowledge_up_to = session->stored_cursor;
   if (session->fenced && session->clock.known() && answered && may_extend) {
     order.lease_until = session->clock.LowerBoundAt(now) + m_options.lease.count();
     session->lease_until = std::max(session->lease_until, *order.lease_until);
