--- a/tests/order_incarnation_test.cc
+++ b/tests/order_incarnation_test.cc
@@ -11,7 +11,7 @@
 namespace endivewood::testing {
 namespace {
 
-const Endpoint upstream_endpoint{.address = "127.0.0.1", .port = 21931};
+const Endpoint upstream_endpoint{.address = "127.0.0.1", .port = 21941};
 constexpr std::int64_t kFormerStart = 1796584500000;
 constexpr std::int64_t kPresentStart = 1796584505000;
 constexpr std::uint64_t kToken = 700;
