--- a/src/async_http.cc
+++ b/src/async_http.cc
@@ -360,7 +360,7 @@
   if (!std::exchange(connection->querying, false) || reply.status != kOk) return true;
   // The reply may also have closed the connection.
   if (IdentityOf(*connection) != call.process.identity) {
-    FinishLater(connection, CallFailure::kNotSent, "another process answers");
+    FinishLater(connection, CallFailure::kOtherProcess, "another process answers");
   } else if (IsOverdue(call)) {
     FinishLater(connection, CallFailure::kNotSent, "sent too late");
   } else {
--- a/src/async_http.h
+++ b/src/async_http.h
@@ -61,7 +61,7 @@
   /// the answer to another call, and a large one isn't cut while it arrives. A request that the
   /// peer's host hasn't acknowledged within `timeout`, or when this process ends, is dropped.
   /// @param process a call that is meant for another process than the one that answers at the
-  /// peer's address fails as not sent.
+  /// peer's address fails with kOtherProcess.
   void Call(const Endpoint& peer, HttpRequest request, Milliseconds timeout, Callback callback,
             PeerProcess process = {});
 
--- a/src/endivewood_p.h
+++ b/src/endivewood_p.h
@@ -88,6 +88,8 @@
   kNotSent,   ///< The connection was refused, so the request did not reach the peer.
   kNoAnswer,  ///< Sent at least in part, so it may have had an effect.
   kTimeout,   ///< As kNoAnswer, when the timeout expired.
+  /// Not sent, as another process than the one it is meant for answers at the peer's address.
+  kOtherProcess,
 };
 
 /// The result of a client call: a reply or a failure.
--- a/src/job_scheduler_upstreams.cc
+++ b/src/job_scheduler_upstreams.cc
@@ -181,6 +181,7 @@
       break;
     case OrderOutcome::kUnhealthy:
     case OrderOutcome::kNotSent:
+    case OrderOutcome::kOtherIncarnation:
       if (current) session->avoid_until = now + Milliseconds(config::kUnhealthyAvoidMs);
       break;
     case OrderOutcome::kWrongIncarnation: {
--- a/src/jobs.cc
+++ b/src/jobs.cc
@@ -92,6 +92,8 @@
       return "not-sent";
     case OrderOutcome::kInvalid:
       return "invalid";
+    case OrderOutcome::kOtherIncarnation:
+      return "other-incarnation";
   }
   return "invalid";
 }
--- a/src/jobs.h
+++ b/src/jobs.h
@@ -211,6 +211,7 @@
   kUnhealthy,  ///< Rejected without effect.
   kNotSent,    ///< Never sent: no connection was free, or the sender's rights had ended meanwhile.
   kInvalid,
+  kOtherIncarnation,  ///< Never sent: not the incarnation for which it is meant answers.
 };
 
 const char* OrderOutcomeName(OrderOutcome outcome);
--- a/src/upstream_client.cc
+++ b/src/upstream_client.cc
@@ -18,6 +18,7 @@
   if (!outcome.reply) {
     switch (outcome.failure) {
       case CallFailure::kNotSent:
+      case CallFailure::kOtherProcess:
         return {.effect = UpstreamEffect::kNotRun, .slot = SlotOutcome::kNotReached};
       case CallFailure::kTimeout:
         return {.effect = UpstreamEffect::kMayHaveRun, .slot = SlotOutcome::kTimeout};
--- a/tests/order_incarnation_test.cc
+++ b/tests/order_incarnation_test.cc
@@ -130,7 +130,7 @@
 // Guards against a run, and a lease by the former clock, of which the holder doesn't know.
 TEST_CASE("a start isn't sent to another incarnation than the one it is meant for") {
   SentOrders test;
-  CHECK(test.Start(kFormerStart) == OrderOutcome::kNotSent);
+  CHECK(test.Start(kFormerStart) == OrderOutcome::kOtherIncarnation);
   CHECK(test.upstream().starts == 0);
   CHECK(test.Start(kPresentStart) == OrderOutcome::kDone);
   CHECK(test.upstream().starts == 1);
@@ -140,21 +140,22 @@
 TEST_CASE("a start isn't sent over a connection to a later incarnation") {
   SentOrders test;
   REQUIRE(test.Renew({}, kPresentStart).start_time == kPresentStart);
-  CHECK(test.Start(kFormerStart) == OrderOutcome::kNotSent);
+  CHECK(test.Start(kFormerStart) == OrderOutcome::kOtherIncarnation);
   CHECK(test.upstream().starts == 0);
 }
 
 // Guards against a lease by the former clock.
 TEST_CASE("a lease extension isn't sent to another incarnation than the one it is meant for") {
   SentOrders test;
-  CHECK(test.Renew({.lease_until = 9000}, kFormerStart).outcome == OrderOutcome::kNotSent);
+  CHECK(test.Renew({.lease_until = 9000}, kFormerStart).outcome == OrderOutcome::kOtherIncarnation);
   CHECK(test.upstream().extensions == 0);
 }
 
 // Guards against ended runs that the next incarnation forgets before it has listed them.
 TEST_CASE("an acknowledgement isn't sent to another incarnation than the one it is meant for") {
   SentOrders test;
-  CHECK(test.Renew({.acknowledge_up_to = 57}, kFormerStart).outcome == OrderOutcome::kNotSent);
+  CHECK(test.Renew({.acknowledge_up_to = 57}, kFormerStart).outcome ==
+        OrderOutcome::kOtherIncarnation);
   CHECK(test.upstream().acknowledgements == 0);
 }
 
@@ -200,7 +201,7 @@
 TEST_CASE("a start isn't sent if its connection is closed after the question") {
   SentOrders test;
   test.upstream().closes_after_renewals = true;
-  CHECK(test.Start(kPresentStart) == OrderOutcome::kNotSent);
+  CHECK(test.Start(kPresentStart) == OrderOutcome::kOtherIncarnation);
   CHECK(test.upstream().starts == 0);
 }
 
