Keep the newest run of a task when an earlier one is listed

What callers saw: a job that never ends. A start gets no answer and is stopped, a second one is answered on the same upstream, which then starts again. The next incarnation executes the first start late, before its first run list. That run took the place of the second one, which wasn't looked for any more, while the task stayed placed.

Cause: an adopted run replaced any other run of the task on that upstream.

Change: an earlier run is stopped beside the newer one, which is stopped too and keeps its reservation until no run of the task is listed. The simulation can deliver orders only to the incarnation that they name, as the platform adapter does.

--- a/src/job_scheduler.h
+++ b/src/job_scheduler.h
@@ -229,6 +229,10 @@
   void ProcessRunningRows(UpstreamSession* session, const RenewOrder& order,
                           const std::vector<RunningRow>& rows, Milliseconds now);
   void Adopt(UpstreamSession* session, const RunningRow& row, Milliseconds now);
+  /// Stops a run whose start was executed late, after a newer one of the task had been ordered
+  /// there.
+  void StopEarlierRun(UpstreamSession* session, const RunningRow& row, HostedRun* newer,
+                      Milliseconds now);
   void ReconcileMissingRuns(UpstreamSession* session, const RenewOrder& order,
                             const std::set<TaskKey>& listed, Milliseconds now);
   // job_scheduler_upstreams.cc
--- a/src/job_scheduler_run_lists.cc
+++ b/src/job_scheduler_run_lists.cc
@@ -163,12 +163,15 @@
   std::set<TaskKey> listed;
   for (const RunningRow& row : rows) {
     const auto found = session->hosted.find(row.task);
+    listed.insert(row.task);
+    if (found != session->hosted.end() && found->second.run > row.run) {
+      StopEarlierRun(session, row, &found->second, now);
+      continue;
+    }
     if (found == session->hosted.end() || found->second.run != row.run) {
       Adopt(session, row, now);
-      listed.insert(row.task);
       continue;
     }
-    listed.insert(row.task);
     HostedRun& run = found->second;
     const auto job = m_jobs.find(row.task.job);
     if (!run.listed && job != m_jobs.end()) NoteStarted(job->second.get());
@@ -232,6 +235,21 @@
   ++found->second->occurrences().at(row.task.occurrence).steps[row.task.step].placed;
 }
 
+void JobScheduler::StopEarlierRun(UpstreamSession* session, const RunningRow& row, HostedRun* newer,
+                                  Milliseconds now) {
+  LogEvent(Event::kTaskAdopted, {RequestField(row.task.job.str()),
+                                 {"task", row.task.str()},
+                                 {"run", row.run},
+                                 {"upstream", session->entry.id},
+                                 {"wanted", false}});
+  m_orders.emplace_back(StopOrder{.upstream = session->entry.id,
+                                  .task = row.task,
+                                  .run = row.run,
+                                  .target = session->Target()});
+  // The newer run may still start. Its reservation covers both.
+  if (newer->state != HostedState::kStopping) Stop(session, row.task, newer, now);
+}
+
 void JobScheduler::ReconcileMissingRuns(UpstreamSession* session, const RenewOrder& order,
                                         const std::set<TaskKey>& listed, Milliseconds now) {
   std::vector<TaskKey> missing;
--- a/tests/former_incarnation_test.cc
+++ b/tests/former_incarnation_test.cc
@@ -196,6 +196,121 @@
   CHECK(test.FirstViolation() == "");
 }
 
+// Guards against an upstream that is taken for its former incarnation: its clock, lease and runs.
+TEST_CASE("an upstream whose time of day was set back before it started again is recognised") {
+  RestartedUpstream test({.upstreams = 2, .max_transit = Milliseconds(10)});
+  test.restarted().Restart(test.simulation.now, test.simulation.now.count());
+  test.simulation.Run(Milliseconds(3000));
+  test.restarted().Restart(test.simulation.now, test.simulation.now.count() - 5000);
+  SECTION("when it is cut off") {
+    test.simulation.Run(Milliseconds(1000));
+    REQUIRE(test.RunOnNewIncarnation());
+    test.CutOff();
+    CHECK(test.MovesWithin(kLongestLease + Milliseconds(2500)));
+  }
+  SECTION("when it stays up") {
+    test.simulation.task_duration = Milliseconds(500);
+    test.simulation.Submit(test.simulation.Spec("job", {Step(1, 1000)}), test_policy);
+    CHECK(test.simulation.RunUntil(
+        [&] { return test.simulation.StateOf("job") == JobState::kComplete; }, Milliseconds(3000)));
+  }
+  CHECK(test.FirstViolation() == "");
+}
+
+/// A scheduler with one upstream whose answers are given one by one.
+class AnsweredScheduler {
+ public:
+  AnsweredScheduler() : m_scheduler({.partition = 1, .epoch = 1}) {
+    SilenceEvents();
+    m_scheduler.FinishRestore(m_now, Milliseconds{0}, m_now);
+    List(1);
+  }
+
+  void List(std::int64_t start_time) {
+    m_start_time = start_time;
+    m_scheduler.SetUpstreams({{.id = UpstreamId("u"),
+                               .service = test_service,
+                               .endpoint = {.address = "127.0.0.1", .port = 1},
+                               .data_centre = DataCentreName("dc"),
+                               .capacity = {.cpu_millicores = 8000, .memory_mb = 16000, .gpus = 0},
+                               .labels = {"a"},
+                               .rack = RackName("r1"),
+                               .draining = false,
+                               .remaining = Milliseconds{0},
+                               .start_time = start_time}},
+                             m_now);
+  }
+
+  void Submit(const JobSpec& spec) { m_scheduler.Submit(spec, test_policy, m_now); }
+
+  /// Lets 100 ms pass. Renewals and stops are answered; the last start is returned without.
+  std::optional<StartOrder> Advance() {
+    m_now += Milliseconds(100);
+    if (const auto batch = m_scheduler.TakeBatch()) m_scheduler.OnDurable(batch->change);
+    m_scheduler.Run(m_now, Milliseconds{0}, {.confirmed_at = m_now});
+    std::optional<StartOrder> started;
+    for (const UpstreamOrder& order : m_scheduler.TakeOrders()) {
+      if (const auto* const start = std::get_if<StartOrder>(&order)) started = *start;
+      if (const auto* const stop = std::get_if<StopOrder>(&order)) {
+        std::erase_if(running, [&](const RunningRow& row) {
+          return row.task == stop->task && row.run == stop->run;
+        });
+        m_scheduler.OnStopped(*stop, {.outcome = OrderOutcome::kDone}, m_now);
+      }
+      if (const auto* const renew = std::get_if<RenewOrder>(&order)) {
+        m_scheduler.OnRenewed(*renew,
+                              {.outcome = OrderOutcome::kDone,
+                               .clock = m_now.count(),
+                               .start_time = m_start_time,
+                               .running = running,
+                               .ended = {}},
+                              m_now);
+      }
+    }
+    return started;
+  }
+
+  std::optional<StartOrder> NextStart() {
+    for (int i = 0; i < 100; ++i) {
+      if (const auto start = Advance()) return start;
+    }
+    return std::nullopt;
+  }
+
+  void Answer(const StartOrder& order, OrderOutcome outcome) {
+    m_scheduler.OnStarted(order, {.outcome = outcome}, m_now);
+  }
+
+  std::vector<RunningRow> running;
+
+ private:
+  Milliseconds m_now{1000};
+  std::int64_t m_start_time = 1;
+  JobScheduler m_scheduler;
+};
+
+// Guards against a task that never starts again, as an earlier run has taken the place of its last.
+TEST_CASE("a task starts again when a new incarnation has executed an earlier start of it") {
+  AnsweredScheduler test;
+  test.Submit({.id = JobId("job"),
+               .queue = QueueName("q"),
+               .service = test_service,
+               .payload = "text",
+               .steps = {Step(1, 1000)}});
+  const auto first = test.NextStart();
+  REQUIRE(first);
+  test.Answer(*first, OrderOutcome::kNoAnswer);
+  const auto second = test.NextStart();
+  REQUIRE(second);
+  test.Answer(*second, OrderOutcome::kDone);
+  test.List(2);
+  test.running = {{.task = first->task, .run = first->run}};
+  const auto third = test.NextStart();
+  REQUIRE(third);
+  CHECK(third->run > second->run);
+  CHECK(test.running.empty());
+}
+
 /// Plays about 30 s with upstreams that start again and are cut off by turns, also from one holder
 /// only, and with new holders.
 void PlayRestartsAndCuts(unsigned seed, bool resets_connections) {
--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -383,11 +383,15 @@
   bool may_extend = true;
   double lost_answer_share = 0;    ///< Share of orders that are executed but not answered.
   double delayed_order_share = 0;  ///< Share of orders that are executed seconds later.
-  Milliseconds answer_time{10};    ///< From an order to its answer, unless that is lost.
+  Milliseconds max_order_delay{12000};
+  Milliseconds answer_time{10};  ///< From an order to its answer, unless that is lost.
   /// Minimum time from an order to a dark upstream until the next incarnation executes it.
   Milliseconds dark_order_delay{0};
   /// Orders to a dark upstream are lost when they are given up, as their connection is reset then.
   bool resets_connections = true;
+  /// With Options::max_transit: an order that would do harm at another incarnation reaches only the
+  /// one that it names, as the platform adapter sends it. Earlier builds don't check that.
+  bool checks_incarnation = true;
   double late_share = 0;  ///< With Options::max_transit: share of orders that arrive seconds later.
   Milliseconds unix_offset{0};  ///< Unix time minus the clock, as the holders know it.
   Milliseconds holder_paused_until{0};
@@ -567,7 +571,21 @@
     });
   }
 
+  static bool NamesOtherIncarnation(const UpstreamOrder& order, const FakeUpstream& upstream) {
+    const auto* const renew = std::get_if<RenewOrder>(&order);
+    const bool harmless = renew == nullptr ? !std::holds_alternative<StartOrder>(order)
+                                           : !renew->lease_until && renew->acknowledge_up_to == 0;
+    const std::int64_t named =
+        std::visit([](const auto& each) { return each.target.start_time; }, order);
+    return !harmless && named != 0 && named != upstream.entry.start_time;
+  }
+
   void ExecuteSentOrder(const SentOrder& sent, FakeUpstream* upstream) {
+    if (checks_incarnation && NamesOtherIncarnation(sent.order, *upstream)) {
+      SendAnswer(sent, {.outcome = OrderOutcome::kOtherIncarnation},
+                 {.outcome = OrderOutcome::kOtherIncarnation});
+      return;
+    }
     if (const auto* renew = std::get_if<RenewOrder>(&sent.order)) {
       const RenewReply reply = upstream->Renew(*renew, TokenOf(sent.order), now);
       if (reply.outcome == OrderOutcome::kDone && renew->wait > Milliseconds{0}) {
@@ -816,7 +834,8 @@
         continue;
       }
       if (RandomFraction() < delayed_order_share) {
-        const Milliseconds delay(2000 + static_cast<int>(RandomFraction() * 10000));
+        const auto range = static_cast<double>(max_order_delay.count() - 2000);
+        const Milliseconds delay(2000 + static_cast<int>(RandomFraction() * range));
         m_delayed_orders.push_back({.order = order, .epoch = holder_epoch, .at = now + delay});
         Answer(scheduler, order, {}, kAnswerTimeout);
         continue;
