Give an order its whole timeout after the query for the incarnation

What callers see: starts on an upstream whose answers take over half of an order's timeout are carried out and never confirmed.

Cause: the query and the order shared one timeout. When it ended, the connection was discarded with the identity that was learned, so the next order asked again.

Change: the timeout of the order begins anew once the query is answered. An order is still sent only within its first timeout. The tests of the check say "query", and what each guards against.

--- a/src/async_http.cc
+++ b/src/async_http.cc
@@ -299,7 +299,8 @@
   SetUnacknowledgedLimit(fd, limit);
 }
 
-/// Otherwise the loop would write the request, after a pause of the process if one begins before.
+/// Writes the request at once. In the loop's next pass it would be written after a pause of the
+/// process, if one begins before.
 void AsyncHttpClient::WriteNow(Connection* connection) {
   bufferevent* const stream = evhttp_connection_get_bufferevent(connection->handle);
   evbuffer* const output = bufferevent_get_output(stream);
@@ -351,6 +352,15 @@
   });
 }
 
+/// Otherwise a peer whose answers take over half of the timeout would execute calls that never get
+/// their answers, since each of them would begin with a query again.
+void AsyncHttpClient::RestartTimeout(Connection* connection) {
+  Pending* const pending = connection->pending.get();
+  if (pending->timer != 0) m_loop->Cancel(pending->timer);
+  pending->timer = m_loop->After(
+      pending->timeout, [this, peer = connection->peer, pending] { Expire(peer, pending); });
+}
+
 bool AsyncHttpClient::HandleIdentity(Connection* connection, const HttpReply& reply) {
   constexpr int kOk = 200;
   const Pending& call = *connection->pending;
@@ -364,6 +374,7 @@
   } else if (IsOverdue(call)) {
     FinishLater(connection, CallFailure::kNotSent, "sent too late");
   } else {
+    RestartTimeout(connection);
     Transmit(connection, call.request);
   }
   return false;
--- a/src/async_http.h
+++ b/src/async_http.h
@@ -88,6 +88,8 @@
   Connection* ConnectionFor(Peer* peer, const Pending& pending);
   void Send(Connection* connection, std::unique_ptr<Pending> pending);
   void Transmit(Connection* connection, const HttpRequest& message);
+  /// Gives the call the whole timeout for its answer, after that to the query.
+  void RestartTimeout(Connection* connection);
   /// Notes the identity that the reply states. After a query, sends the call if it is meant for
   /// that process.
   /// @returns whether the reply is that of the call.
--- a/tests/order_incarnation_test.cc
+++ b/tests/order_incarnation_test.cc
@@ -136,7 +136,7 @@
   CHECK(test.upstream().starts == 1);
 }
 
-// Guards against the same on a connection that an answer of another incarnation has come over.
+// Guards against a start over a connection whose incarnation is known to be a later one.
 TEST_CASE("a start isn't sent over a connection to a later incarnation") {
   SentOrders test;
   REQUIRE(test.Renew({}, kPresentStart).start_time == kPresentStart);
@@ -171,7 +171,7 @@
 }
 
 // Guards against a call that is charged for at each order.
-TEST_CASE("an incarnation is asked for its start time once a connection") {
+TEST_CASE("an incarnation is queried once a connection") {
   SentOrders test;
   REQUIRE(test.Start(kPresentStart) == OrderOutcome::kDone);
   REQUIRE(test.Start(kPresentStart) == OrderOutcome::kDone);
@@ -179,8 +179,8 @@
   CHECK(test.upstream().starts == 2);
 }
 
-// Guards against asking when a run list has shown it, or when the order fits any incarnation.
-TEST_CASE("an incarnation isn't asked for its start time without need") {
+// Guards against a query after a run list, or for an order that does no harm anywhere.
+TEST_CASE("an incarnation isn't queried without need") {
   SentOrders test;
   CHECK(test.Stop(kPresentStart) == OrderOutcome::kDone);
   CHECK(test.upstream().renewals == 0);
@@ -190,15 +190,15 @@
 }
 
 // Guards against an order that is given up without the reason that the upstream has stated.
-TEST_CASE("an order has the refusal with which its upstream answers the question") {
+TEST_CASE("an order fails with the refusal of its query") {
   SentOrders test;
   test.upstream().status_of_renewals = 421;
   CHECK(test.Start(kPresentStart) == OrderOutcome::kWrongIncarnation);
   CHECK(test.upstream().starts == 0);
 }
 
-// Guards against a start over a connection that is made after the answer to the question.
-TEST_CASE("a start isn't sent if its connection is closed after the question") {
+// Guards against a start over a connection that is made after the answer to the query.
+TEST_CASE("a start isn't sent if its connection is closed after the query") {
   SentOrders test;
   test.upstream().closes_after_renewals = true;
   CHECK(test.Start(kPresentStart) == OrderOutcome::kOtherIncarnation);
