Apply the registry entry of a restarted upstream with a lower start time once it answers

What callers see: an upstream whose time of day was set back before it started again gets no tasks until some entry of the registry changes; a task may run on two upstreams when another one refuses a call at the address of an outdated entry.

Cause: an entry with an unknown lower start time was passed over and not kept. The address that it states was used, and a refusal there was taken for the end of the upstream.

Change: such an entry is kept until an answer shows whether it describes the present incarnation. A refusal at its address counts as no answer until then.

Measured: outdated_entry_test, its first two cases failed before and pass now.

--- a/src/job_scheduler.h
+++ b/src/job_scheduler.h
@@ -198,6 +198,7 @@
 
   // job_scheduler_upstreams.cc
   UpstreamSession* FindSession(const UpstreamId& id);
+  void ApplyEntry(UpstreamSession* session, const UpstreamEntry& entry, Milliseconds now);
   void DropRun(UpstreamSession* session, const TaskKey& task, const char* cause, Milliseconds now);
   void HandleLeaseEnd(UpstreamSession* session, Milliseconds now);
   // job_scheduler_incarnations.cc
--- a/src/job_scheduler_incarnations.cc
+++ b/src/job_scheduler_incarnations.cc
@@ -75,6 +75,9 @@
   session->former_start_times.insert(session->start_time);
   session->former_start_times.erase(start_time);
   session->start_time = start_time;
+  if (session->unconfirmed_entry && session->unconfirmed_entry->start_time == start_time) {
+    ApplyEntry(session, UpstreamEntry(*session->unconfirmed_entry), now);
+  }
   // If the new incarnation has executed an order, its lease end was stated by the old clock.
   const Milliseconds in_flight_end = now + LongestTimeOf(m_options.max_lease);
   if (!session->hosted_complete) {
--- a/src/job_scheduler_upstreams.cc
+++ b/src/job_scheduler_upstreams.cc
@@ -19,6 +19,17 @@
   m_next_due = std::min(m_next_due, session->next_renew);
 }
 
+void JobScheduler::ApplyEntry(UpstreamSession* session, const UpstreamEntry& entry,
+                              Milliseconds now) {
+  const bool was_draining = session->entry.draining;
+  session->entry = entry;
+  session->address_unconfirmed = false;
+  session->unconfirmed_entry.reset();
+  if (!entry.draining || was_draining) return;
+  session->drain_deadline = now + std::max(entry.remaining, m_options.drain_notice);
+  LogEvent(Event::kUpstreamDraining, {{"upstream", entry.id}, {"remaining_ms", entry.remaining}});
+}
+
 void JobScheduler::SetUpstreams(const std::vector<UpstreamEntry>& entries, Milliseconds now) {
   m_loads.clear();
   std::set<UpstreamId> listed;
@@ -45,20 +56,19 @@
       if (former || entry.start_time < session.start_time) {
         // It may be outdated, or of a next incarnation that was started with its clock set back,
         // which only an answer shows.
-        if (!former && session.unanswered > 0) session.entry.endpoint = entry.endpoint;
+        if (former) continue;
+        session.unconfirmed_entry = entry;
+        if (session.unanswered > 0 && session.entry.endpoint != entry.endpoint) {
+          session.entry.endpoint = entry.endpoint;
+          session.address_unconfirmed = true;
+        }
         continue;
       }
       HandleNewIncarnation(&session, entry.start_time, now);
     }
-    const bool was_draining = session.entry.draining;
-    session.entry = entry;
+    ApplyEntry(&session, entry, now);
     if (session.start_time == 0) session.start_time = entry.start_time;
     session.listed = true;
-    if (entry.draining && !was_draining) {
-      session.drain_deadline = now + std::max(entry.remaining, m_options.drain_notice);
-      LogEvent(Event::kUpstreamDraining,
-               {{"upstream", entry.id}, {"remaining_ms", entry.remaining}});
-    }
   }
   for (auto it = m_sessions.begin(); it != m_sessions.end();) {
     UpstreamSession& session = it->second;
@@ -185,7 +195,7 @@
       if (current) session->avoid_until = now + Milliseconds(config::kUnhealthyAvoidMs);
       break;
     case OrderOutcome::kWrongIncarnation: {
-      if (!current) break;
+      if (!current || session->address_unconfirmed) break;
       m_ignored_until[order.upstream] = now + Milliseconds(config::kUpstreamAvoidMs);
       session->listed = false;
       session->inherited_lease_end = now;
@@ -248,13 +258,16 @@
       m_fenced_out = true;
       return;
     case OrderOutcome::kWrongIncarnation:
-      m_ignored_until[order.upstream] = now + Milliseconds(config::kUpstreamAvoidMs);
-      session->listed = false;
-      session->inherited_lease_end = now;
-      session->clock = RemoteClock();
-      HandleLeaseEnd(session, now);
-      session->next_renew = now + Milliseconds(config::kUpstreamAvoidMs);
-      return;
+      if (!session->address_unconfirmed) {
+        m_ignored_until[order.upstream] = now + Milliseconds(config::kUpstreamAvoidMs);
+        session->listed = false;
+        session->inherited_lease_end = now;
+        session->clock = RemoteClock();
+        HandleLeaseEnd(session, now);
+        session->next_renew = now + Milliseconds(config::kUpstreamAvoidMs);
+        return;
+      }
+      [[fallthrough]];
     default:
       if (++session->unanswered == 1) {
         LogEvent(Event::kUpstreamUnreachable, {{"upstream", order.upstream},
--- a/src/upstream_session.h
+++ b/src/upstream_session.h
@@ -105,8 +105,11 @@
 /// One incarnation of an upstream.
 struct UpstreamSession {
   UpstreamEntry entry;
-  bool listed = false;      ///< Contained in the current registry.
-  bool registered = false;  ///< Its UpstreamRecord is stored.
+  /// Registry entry with a lower start time, until an answer shows whether it is the present one.
+  std::optional<UpstreamEntry> unconfirmed_entry;
+  bool address_unconfirmed = false;  ///< `entry.endpoint` is that of `unconfirmed_entry`.
+  bool listed = false;               ///< Contained in the current registry.
+  bool registered = false;           ///< Its UpstreamRecord is stored.
   std::uint64_t registered_at_change = 0;
   bool hosted_complete = false;  ///< A run list was read, so `hosted` is complete.
   /// The last run list may not contain all ended runs, so a run that isn't listed may have ended.
