Don't count a failure whose acknowledgement wasn't sent

What callers see: a job is shown as failed after fewer failures than its queue allows.

Cause: a renewal notes the ends that it acknowledges as sent. When it isn't sent, because the upstream has started again, the note stayed, and the failure counted as acknowledged when the new incarnation answered. Found by the review.

Change: the note is taken back with an order that is reported as not sent.

Measured: unsent_acknowledgement_test fails without the change and passes with it.

--- a/src/job_scheduler_upstreams.cc
+++ b/src/job_scheduler_upstreams.cc
@@ -269,6 +269,10 @@
       }
       [[fallthrough]];
     default:
+      if (reply.outcome == OrderOutcome::kNotSent ||
+          reply.outcome == OrderOutcome::kOtherIncarnation) {
+        session->sent_cursor = session->previous_sent_cursor;
+      }
       if (++session->unanswered == 1) {
         LogEvent(Event::kUpstreamUnreachable, {{"upstream", order.upstream},
                                                {"outcome", OrderOutcomeName(reply.outcome)},
