--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -8,6 +8,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "config.h"
