Let the tests of held-up requests listen on any free port

Cause: one run of 26 tests, beside builds and tests of other work trees, failed in bind() in all five cases. The error code wasn't recorded. The tests' port lies in order_carrier_test's range, so another work tree's run of that test is suspected, not shown.

Change: the peer listens on a port that the operating system chooses. No check changes.

The other 25 tests of that run passed.

--- a/tests/held_up_request_test.cc
+++ b/tests/held_up_request_test.cc
@@ -21,14 +21,11 @@
 namespace endivewood::testing {
 namespace {
 
-constexpr std::uint16_t kPort = 21931;
 constexpr Milliseconds kTimeout{600};
 constexpr Milliseconds kPause{2000};
 /// A peer that doesn't read leaves most of this in the sender's kernel.
 constexpr std::size_t kHeldUpBytes = 200000;
 
-const Endpoint test_peer{.address = "127.0.0.1", .port = kPort};
-
 HttpRequest Order(std::size_t size) {
   return {.method = "POST",
           .path = "/order",
@@ -37,10 +34,10 @@
           .body = std::string(size, 'x')};
 }
 
-sockaddr_in Address() {
+sockaddr_in AddressOf(std::uint16_t port) {
   sockaddr_in address{};
   address.sin_family = AF_INET;
-  address.sin_port = htons(kPort);
+  address.sin_port = htons(port);
   inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
   return address;
 }
@@ -53,9 +50,14 @@
     setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
     const int small = 4096;
     setsockopt(m_listener, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
-    const sockaddr_in address = Address();
+    // Any free port.
+    const sockaddr_in address = AddressOf(0);
     REQUIRE(bind(m_listener, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0);
     REQUIRE(listen(m_listener, 0) == 0);
+    sockaddr_in bound{};
+    socklen_t size = sizeof(bound);
+    REQUIRE(getsockname(m_listener, reinterpret_cast<sockaddr*>(&bound), &size) == 0);
+    m_port = ntohs(bound.sin_port);
   }
   ~Peer() {
     if (m_connection >= 0) close(m_connection);
@@ -65,10 +67,12 @@
   Peer(const Peer&) = delete;
   Peer& operator=(const Peer&) = delete;
 
+  Endpoint endpoint() const { return {.address = "127.0.0.1", .port = m_port}; }
+
   /// Fills the queue of new connections, so that the next one isn't established.
   void RefuseConnections() {
     m_filler = socket(AF_INET, SOCK_STREAM, 0);
-    const sockaddr_in address = Address();
+    const sockaddr_in address = AddressOf(m_port);
     REQUIRE(connect(m_filler, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0);
   }
 
@@ -115,6 +119,7 @@
   }
 
   int m_listener;
+  std::uint16_t m_port = 0;
   int m_filler = -1;
   int m_connection = -1;
 };
@@ -123,10 +128,11 @@
 void PauseLoop() { std::this_thread::sleep_for(kPause); }
 
 struct Sender {
-  explicit Sender(const Clock* clock) : client(&loop, {.max_connections = 1, .clock = clock}) {}
+  Sender(const Peer& receiver, const Clock* clock)
+      : peer(receiver.endpoint()), client(&loop, {.max_connections = 1, .clock = clock}) {}
 
   void Call(std::size_t size, Milliseconds timeout) {
-    client.Call(test_peer, Order(size), timeout, [this](HttpOutcome result) {
+    client.Call(peer, Order(size), timeout, [this](HttpOutcome result) {
       outcome = std::move(result);
       loop.After(Milliseconds(10), [this] { loop.Stop(); });
     });
@@ -137,6 +143,7 @@
     loop.Run();
   }
 
+  const Endpoint peer;
   EventLoop loop;
   AsyncHttpClient client;
   std::optional<HttpOutcome> outcome;
@@ -148,7 +155,7 @@
   Peer peer;
   peer.RefuseConnections();
   Clock clock;
-  Sender sender(&clock);
+  Sender sender(peer, &clock);
   sender.Call(10, Milliseconds(3000));
   sender.loop.After(Milliseconds(100), [&] { clock.Advance(Milliseconds(5000)); });
   bool connected = false;
@@ -173,7 +180,7 @@
   Peer peer;
   peer.RefuseConnections();
   Clock clock;
-  Sender sender(&clock);
+  Sender sender(peer, &clock);
   sender.Call(10, kTimeout);
   sender.loop.After(Milliseconds(50), [] { PauseLoop(); });
   std::string received;
@@ -193,7 +200,7 @@
 TEST_CASE("a call on an open connection isn't sent after a pause that begins with it") {
   Peer peer;
   Clock clock;
-  Sender sender(&clock);
+  Sender sender(peer, &clock);
   std::atomic<bool> paused = false;
   std::string received_late;
   std::thread reader([&] {
@@ -205,7 +212,7 @@
     std::this_thread::sleep_for(kPause - kTimeout / 2);
     received_late = peer.ReadAll();
   });
-  sender.client.Call(test_peer, Order(10), kTimeout, [&](const HttpOutcome&) {
+  sender.client.Call(peer.endpoint(), Order(10), kTimeout, [&](const HttpOutcome&) {
     sender.loop.After(Milliseconds(10), [&] {
       sender.Call(10, kTimeout);
       paused = true;
@@ -224,7 +231,7 @@
 TEST_CASE("a request that the peer doesn't take is dropped while its sender is paused") {
   Peer peer;
   Clock clock;
-  Sender sender(&clock);
+  Sender sender(peer, &clock);
   sender.Call(kHeldUpBytes, kTimeout);
   sender.loop.After(Milliseconds(100), [] { PauseLoop(); });
   std::string received;
@@ -246,7 +253,7 @@
   REQUIRE(child >= 0);
   if (child == 0) {
     Clock clock;
-    Sender sender(&clock);
+    Sender sender(peer, &clock);
     sender.Call(kHeldUpBytes, Milliseconds(5000));
     sender.RunLoop();
     _exit(0);
