--- a/tests/former_incarnation_test.cc
+++ b/tests/former_incarnation_test.cc
@@ -272,7 +272,7 @@
 
   std::optional<StartOrder> NextStart() {
     for (int i = 0; i < 100; ++i) {
-      if (const auto start = Advance()) return start;
+      if (auto start = Advance()) return start;
     }
     return std::nullopt;
   }
