--- a/src/job_scheduler_upstreams.cc
+++ b/src/job_scheduler_upstreams.cc
@@ -52,11 +52,10 @@
       }
     }
     if (IsOtherIncarnation(session, entry.start_time)) {
-      const bool former = session.former_start_times.count(entry.start_time) > 0;
-      if (former || entry.start_time < session.start_time) {
+      if (session.former_start_times.count(entry.start_time) > 0) continue;
+      if (entry.start_time < session.start_time) {
         // It may be outdated, or of a next incarnation that was started with its clock set back,
         // which only an answer shows.
-        if (former) continue;
         session.unconfirmed_entry = entry;
         if (session.unanswered > 0 && session.entry.endpoint != entry.endpoint) {
           session.entry.endpoint = entry.endpoint;
@@ -373,7 +372,7 @@
   // postpone the end of the lease indefinitely.
   const bool answered = session->unanswered == 0;
   // The order could reach a new incarnation, which would drop its own ended runs with these
-  // numbers. Only what is new is therefore acknowledged, and only after an answer.
+  // numbers. Only new ends are acknowledged, and only after an answer.
   const bool unacknowledged = session->stored_cursor > session->acknowledged_cursor;
   if (answered && unacknowledged) order.acknowledge_up_to = session->stored_cursor;
   if (session->fenced && session->clock.known() && answered && may_extend) {
