Add client accounts to the catalog, job records and schedulers

Cause: two deployments list client accounts (keys, weights, limits) in their configuration, and nothing decodes or stores them.

Change: FleetCatalog has the accounts, a queue may be public, and a job names its account, which its record keeps. Schedulers are told the accounts with each configuration. Nothing uses the accounts yet.

--- a/src/fleet_catalog.cc
+++ b/src/fleet_catalog.cc
@@ -36,6 +36,14 @@
   return nullptr;
 }
 
+const ClientAccount* FleetCatalog::FindAccount(const AccountName& name) const {
+  if (!accounts) return nullptr;
+  for (const ClientAccount& account : *accounts) {
+    if (account.name == name) return &account;
+  }
+  return nullptr;
+}
+
 int PartitionOf(const ServiceName& service, int partitions) {
   if (partitions < 2) return 0;
   return 1 + static_cast<int>(StableHash(service.str()) % static_cast<unsigned>(partitions - 1));
--- a/src/fleet_catalog.h
+++ b/src/fleet_catalog.h
@@ -4,10 +4,11 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
-#include "jobs.h"
+#include "client_account.h"
 
 namespace endivewood {
 
@@ -18,6 +19,7 @@
   ServiceName service;
   Milliseconds timeout{0};
   QueuePolicy policy;
+  bool is_public = false;  ///< Its callers need no account.
 
   bool operator==(const Queue&) const = default;
 };
@@ -45,12 +47,16 @@
   std::vector<Queue> queues;
   std::vector<CatalogService> services;
   CallerLimits limits;
+  /// No value in a deployment without accounts, whose callers need no key.
+  std::optional<std::vector<ClientAccount>> accounts;
 
   /// @param host without a port.
   /// @returns the queue of a request, or nullptr when none matches.
   const Queue* FindQueue(const std::string& host, const std::string& path) const;
   /// @returns the service that represents the spare pool, or nullptr.
   const CatalogService* Spare() const;
+  /// @returns the account, or nullptr.
+  const ClientAccount* FindAccount(const AccountName& name) const;
 
   bool operator==(const FleetCatalog&) const = default;
 };
--- a/src/job_node.cc
+++ b/src/job_node.cc
@@ -527,7 +527,9 @@
 }
 
 void JobNode::UpdateUpstreams(PartitionTerm* term, Milliseconds now) {
-  if (!m_registry.loaded() || !m_catalog) return;
+  if (!m_catalog) return;
+  term->scheduler().SetAccounts(m_catalog->accounts);
+  if (!m_registry.loaded()) return;
   const std::set<ServiceName> services = ServicesOf(term->options().partition.number);
   std::vector<UpstreamEntry> entries;
   for (const auto& [key, entry] : m_registry_entries) {
--- a/src/job_scheduler.h
+++ b/src/job_scheduler.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <set>
 
+#include "client_account.h"
 #include "job.h"
 #include "job_admission.h"
 #include "job_placement.h"
@@ -126,6 +127,10 @@
 
   // Upstreams.
 
+  /// Call with each new version of the configuration.
+  /// @param accounts no value in a deployment without accounts.
+  void SetAccounts(const std::optional<std::vector<ClientAccount>>& accounts);
+
   /// @param entries current registry, restricted to this scheduler's services.
   void SetUpstreams(const std::vector<UpstreamEntry>& entries, Milliseconds now);
   void OnStarted(const StartOrder& order, const OrderReply& reply, Milliseconds now);
@@ -280,6 +285,7 @@
   void ReportUnplaced(const WaitingStep& waiting, const TaskKey& task, Milliseconds now);
 
   SchedulerOptions m_options;
+  std::map<AccountName, ClientAccount> m_accounts;  ///< Empty in a deployment without accounts.
   std::map<JobId, std::unique_ptr<Job>> m_jobs;
   std::map<JobId, Ended> m_results;
   Milliseconds m_results_expire_at{0};  ///< Unix time of the next search for expired results.
--- a/src/jobs.h
+++ b/src/jobs.h
@@ -15,6 +15,8 @@
 using UpstreamId = Name<struct UpstreamIdTag>;
 using JobId = Name<struct JobIdTag>;
 using QueueName = Name<struct QueueTag>;
+/// A client account: a customer of the deployment.
+using AccountName = Name<struct AccountTag>;
 
 /// Resource requirements and behaviour of the tasks of one step.
 struct StepSpec {
@@ -52,6 +54,7 @@
   int occurrences = 0;        ///< 0: one occurrence, due on arrival.
   Milliseconds first_due{0};  ///< Unix time.
   Milliseconds interval{0};
+  AccountName account;  ///< Invalid for a queue that needs no account.
 
   bool operator==(const JobSpec&) const = default;
 };
