Check callers' keys where the configuration lists client accounts

Strict revocation by the settings. Job records and results name their account. Without accounts in the configuration nothing changes.

--- a/src/client_account.h
+++ b/src/client_account.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <vector>
 
+#include "api_key.h"
 #include "jobs.h"
 
 namespace endivewood {
@@ -45,6 +46,7 @@
 
 struct ClientAccount {
   AccountName name;
+  std::vector<KeyDigest> keys;
   /// Share of the account, relative to the others' weights, when there is less room than demand;
   /// also the jobs a second that it may count on.
   int weight = 1;
--- a/src/codec.h
+++ b/src/codec.h
@@ -7,6 +7,8 @@
 #include <msgpack.hpp>
 #include <utility>
 
+#include "api_key.h"
+
 MSGPACK_ADD_ENUM(endivewood::WorkClass)
 MSGPACK_ADD_ENUM(endivewood::InstanceState)
 MSGPACK_ADD_ENUM(endivewood::WaveState)
@@ -35,6 +37,25 @@
     }
   };
 
+  /// A digest of a key is encoded as a string of its bytes.
+  template <>
+  struct convert<endivewood::KeyDigest> {
+    const msgpack::object& operator()(const msgpack::object& object,
+                                      endivewood::KeyDigest& value) const {
+      value = endivewood::KeyDigest(object.as<std::string>());
+      return object;
+    }
+  };
+
+  template <>
+  struct pack<endivewood::KeyDigest> {
+    template <typename Stream>
+    msgpack::packer<Stream>& operator()(msgpack::packer<Stream>& packer,
+                                        const endivewood::KeyDigest& value) const {
+      return packer.pack(value.bytes());
+    }
+  };
+
   /// A duration is encoded as an integer number of milliseconds.
   template <>
   struct convert<endivewood::Milliseconds> {
--- a/src/endivewood_p.h
+++ b/src/endivewood_p.h
@@ -45,6 +45,8 @@
 
   /// @returns the value of a header, or an empty string.
   std::string Header(const std::string& name) const;
+  /// @returns how many headers have a name.
+  std::size_t CountHeaders(const std::string& name) const;
   /// @returns the decoded value of a query parameter, or `fallback`.
   std::string Parameter(const std::string& name, const std::string& fallback = "") const;
 };
--- a/src/events.cc
+++ b/src/events.cc
@@ -115,6 +115,7 @@
       {Event::kCarriersChanged, "carriers-changed", EventLevel::kInfo},
       {Event::kCarrierLost, "carrier-lost", EventLevel::kWarning},
       {Event::kCarryRefused, "carry-refused", EventLevel::kWarning},
+      {Event::kCallerRejected, "caller-rejected", EventLevel::kInfo},
       {Event::kMaintenanceOrdered, "maintenance-ordered", EventLevel::kInfo},
       {Event::kMoveOrdered, "move-ordered", EventLevel::kInfo},
       {Event::kMachineOrderFailed, "machine-order-failed", EventLevel::kWarning},
--- a/src/events.h
+++ b/src/events.h
@@ -136,6 +136,7 @@
   kCarriersChanged = 817,
   kCarrierLost = 818,
   kCarryRefused = 819,
+  kCallerRejected = 820,
   // Machines of the platform.
   kMaintenanceOrdered = 900,
   kMoveOrdered = 901,
--- a/src/fleet_catalog.cc
+++ b/src/fleet_catalog.cc
@@ -2,6 +2,8 @@
 /// Selects the queue of a request and the partition of a service.
 #include "fleet_catalog.h"
 
+#include <algorithm>
+
 namespace endivewood {
 namespace {
 
@@ -44,6 +46,16 @@
   return nullptr;
 }
 
+const ClientAccount* FleetCatalog::AccountOfKey(const KeyDigest& key) const {
+  if (!accounts || !key.valid()) return nullptr;
+  for (const ClientAccount& account : *accounts) {
+    if (std::find(account.keys.begin(), account.keys.end(), key) != account.keys.end()) {
+      return &account;
+    }
+  }
+  return nullptr;
+}
+
 int PartitionOf(const ServiceName& service, int partitions) {
   if (partitions < 2) return 0;
   return 1 + static_cast<int>(StableHash(service.str()) % static_cast<unsigned>(partitions - 1));
--- a/src/fleet_catalog.h
+++ b/src/fleet_catalog.h
@@ -57,6 +57,8 @@
   const CatalogService* Spare() const;
   /// @returns the account, or nullptr.
   const ClientAccount* FindAccount(const AccountName& name) const;
+  /// @returns the account that a key belongs to, or nullptr.
+  const ClientAccount* AccountOfKey(const KeyDigest& key) const;
 
   bool operator==(const FleetCatalog&) const = default;
 };
--- a/src/job.h
+++ b/src/job.h
@@ -99,6 +99,7 @@
   QueueName queue;
   JobState state = JobState::kComplete;
   Milliseconds ended{0};  ///< Unix time.
+  AccountName account;    ///< As in the job's JobSpec.
 
   bool operator==(const JobResult&) const = default;
 };
--- a/src/job_codec.cc
+++ b/src/job_codec.cc
@@ -19,7 +19,7 @@
 ENDIVEWOOD_CODEC(endivewood::StepProgress, v.done, v.failed)
 ENDIVEWOOD_CODEC(endivewood::OccurrenceProgress, v.number, v.complete, v.steps)
 ENDIVEWOOD_CODEC(endivewood::JobProgress, v.state, v.occurrences)
-ENDIVEWOOD_CODEC(endivewood::JobResult, v.queue, v.state, v.ended)
+ENDIVEWOOD_CODEC(endivewood::JobResult, v.queue, v.state, v.ended, v.account)
 ENDIVEWOOD_CODEC(endivewood::JobRecord, v.spec, v.policy, v.accepted)
 ENDIVEWOOD_CODEC(endivewood::UpstreamRecord, v.id, v.service, v.endpoint, v.start_time,
                  v.follows_incarnation)
--- a/src/job_node.cc
+++ b/src/job_node.cc
@@ -99,6 +99,11 @@
           .log_end = m_operators.log_end()};
 }
 
+bool JobNode::IsCatalogRecent(Milliseconds age) const {
+  const auto current_at = m_operators.current_at();
+  return current_at && m_clock->Now() - *current_at <= age;
+}
+
 void JobNode::OnCatalog(std::function<void(const FleetCatalog&)> callback) {
   m_catalog_callbacks.push_back(std::move(callback));
 }
--- a/src/job_node.h
+++ b/src/job_node.h
@@ -96,6 +96,8 @@
     std::uint64_t log_end = 0;
   };
   CatalogReadState catalog_read_state() const;
+  /// @returns whether the catalog was certainly the newest at most `age` ago.
+  bool IsCatalogRecent(Milliseconds age) const;
 
   /// Called with each new configuration.
   void OnCatalog(std::function<void(const FleetCatalog&)> callback);
@@ -162,6 +164,8 @@
   HolderRights RightsAt(Milliseconds now) const;
 
   // job_node_calls.cc
+  /// @returns why a call isn't answered for its caller, or kOk.
+  NodeStatus CheckCaller(const NodeCall& call, const JobScheduler& scheduler) const;
   void AnswerLocally(const NodeCall& call, Answer answer);
   void AnswerSubmit(const std::shared_ptr<PartitionTerm>& term, const SubmitCall& call,
                     Answer answer);
--- a/src/job_node_calls.cc
+++ b/src/job_node_calls.cc
@@ -96,7 +96,8 @@
       return;
     }
     const bool rejected =
-        reply.status == NodeStatus::kRefused || reply.status == NodeStatus::kUnavailable;
+        reply.status == NodeStatus::kRefused || reply.status == NodeStatus::kUnavailable ||
+        reply.status == NodeStatus::kUnauthorized || reply.status == NodeStatus::kForbidden;
     if (rejected && forwarding->uncertain) {
       // An earlier attempt may have been stored, so the refusal may not hold.
       RetryOrFail(forwarding, "refused-after-uncertain");
@@ -152,6 +153,36 @@
   answer(std::move(reply));
 }
 
+NodeStatus JobNode::CheckCaller(const NodeCall& call, const JobScheduler& scheduler) const {
+  return std::visit(
+      [&](const auto& each) {
+        if constexpr (requires { each.credential; }) {
+          QueueName queue;
+          std::optional<AccountName> owner;
+          if constexpr (requires { each.spec; }) {
+            queue = each.spec.queue;
+            owner = scheduler.AccountOf(each.spec.id);
+          } else {
+            queue = each.queue;
+          }
+          if constexpr (requires { each.job; }) owner = scheduler.AccountOf(each.job);
+          switch (VerifyCredential(m_catalog.get(), queue, each.credential)) {
+            case CredentialVerdict::kAccepted:
+              break;
+            case CredentialVerdict::kWithdrawn:
+              return NodeStatus::kUnauthorized;
+            case CredentialVerdict::kMissing:
+              return NodeStatus::kUnavailable;
+          }
+          const bool permitted = !owner || MayAccess(*owner, each.credential.account);
+          return permitted ? NodeStatus::kOk : NodeStatus::kForbidden;
+        } else {
+          return NodeStatus::kOk;
+        }
+      },
+      call);
+}
+
 void JobNode::AnswerLocally(const NodeCall& call, Answer answer) {
   const WorkTimes::Scope scope(&m_work, m_clock, WorkPart::kCalls);
   if (const auto* handover = std::get_if<HandoverCall>(&call)) {
@@ -176,7 +207,15 @@
   const std::shared_ptr<PartitionTerm> term = found->second;
   JobScheduler& scheduler = term->scheduler();
   const Milliseconds now = m_clock->Now();
-  NodeReply reply{.status = NodeStatus::kOk};
+  NodeReply reply{.status = CheckCaller(call, scheduler)};
+  if (reply.status != NodeStatus::kOk) {
+    if (reply.status == NodeStatus::kUnavailable) {
+      reply.retry_after = Milliseconds(config::kFailoverRetryMs);
+      reply.reason = "key-required";
+    }
+    answer(std::move(reply));
+    return;
+  }
   if (const auto* submit = std::get_if<SubmitCall>(&call)) {
     AnswerSubmit(term, *submit, std::move(answer));
     return;
--- a/src/job_node_dump.cc
+++ b/src/job_node_dump.cc
@@ -31,6 +31,20 @@
           {"upstreams", std::move(upstreams)}};
 }
 
+nlohmann::json DumpAccounts(const FleetCatalog& catalog) {
+  nlohmann::json accounts = nlohmann::json::array();
+  if (!catalog.accounts) return accounts;
+  for (const ClientAccount& account : *catalog.accounts) {
+    accounts.push_back({{"name", account.name.str()},
+                        {"keys", account.keys.size()},
+                        {"weight", account.weight},
+                        {"limit_millicores", account.limit.cpu_millicores},
+                        {"limit_mb", account.limit.memory_mb},
+                        {"limit_gpus", account.limit.gpus}});
+  }
+  return accounts;
+}
+
 }  // namespace
 
 std::string JobNode::Dump() const {
@@ -41,22 +55,24 @@
   for (const auto& [partition, endpoint] : m_owners) {
     owners[std::to_string(partition)] = endpoint.str();
   }
-  const nlohmann::json dump = {{"node", m_options.name},
-                               {"config_version", m_catalog ? m_catalog->version : 0},
-                               {"config_age_ms", catalog_read_state().age.count()},
-                               {"config_offset", catalog_read_state().offset},
-                               {"config_log_end", catalog_read_state().log_end},
-                               {"ready", IsReady()},
-                               {"generation", m_membership.generation()},
-                               {"confirmed", m_membership.IsConfirmed(now)},
-                               {"store_silent_ms", (now - m_last_store_answer).count()},
-                               {"registry_entries", m_registry_entries.size()},
-                               {"uses_carriers", m_uses_carriers},
-                               {"carriers", m_carriers.known()},
-                               {"usable_carriers", m_carriers.usable(now)},
-                               {"planner", m_planner != nullptr},
-                               {"owners", std::move(owners)},
-                               {"terms", std::move(terms)}};
+  const nlohmann::json dump = {
+      {"node", m_options.name},
+      {"config_version", m_catalog ? m_catalog->version : 0},
+      {"config_age_ms", catalog_read_state().age.count()},
+      {"config_offset", catalog_read_state().offset},
+      {"config_log_end", catalog_read_state().log_end},
+      {"accounts", m_catalog ? DumpAccounts(*m_catalog) : nlohmann::json()},
+      {"ready", IsReady()},
+      {"generation", m_membership.generation()},
+      {"confirmed", m_membership.IsConfirmed(now)},
+      {"store_silent_ms", (now - m_last_store_answer).count()},
+      {"registry_entries", m_registry_entries.size()},
+      {"uses_carriers", m_uses_carriers},
+      {"carriers", m_carriers.known()},
+      {"usable_carriers", m_carriers.usable(now)},
+      {"planner", m_planner != nullptr},
+      {"owners", std::move(owners)},
+      {"terms", std::move(terms)}};
   return dump.dump(2);
 }
 
--- a/src/job_scheduler.cc
+++ b/src/job_scheduler.cc
@@ -139,6 +139,14 @@
   return open->second->started ? JobState::kRunning : JobState::kQueued;
 }
 
+std::optional<AccountName> JobScheduler::AccountOf(const JobId& id) const {
+  const auto ended = m_results.find(id);
+  if (ended != m_results.end()) return ended->second.result.account;
+  const auto open = m_jobs.find(id);
+  if (open == m_jobs.end()) return std::nullopt;
+  return open->second->spec().account;
+}
+
 std::size_t JobScheduler::Pending(const QueueName& queue) const {
   return static_cast<std::size_t>(
       std::count_if(m_jobs.begin(), m_jobs.end(), [&](const auto& entry) {
@@ -155,9 +163,11 @@
                               {"state", JobStateLabel(state)},
                               {"age_ms", now - job.arrived()},
                               {"change", change}});
-  m_results[id] = {
-      .result = {.queue = job.spec().queue, .state = state, .ended = now + m_unix_offset},
-      .change = change};
+  m_results[id] = {.result = {.queue = job.spec().queue,
+                              .state = state,
+                              .ended = now + m_unix_offset,
+                              .account = job.spec().account},
+                   .change = change};
   StopRunsOf(id, now);
   m_jobs.erase(id);
 }
--- a/src/job_scheduler.h
+++ b/src/job_scheduler.h
@@ -108,6 +108,8 @@
   CancelResult Cancel(const JobId& id, Milliseconds now);
   /// @returns the state to report to callers, or no value if the job isn't known.
   std::optional<JobState> StateOf(const JobId& id) const;
+  /// @returns the account of a job, invalid for a public queue; no value if the job isn't known.
+  std::optional<AccountName> AccountOf(const JobId& id) const;
   /// @returns the number of accepted jobs of a queue without any started task.
   std::size_t Pending(const QueueName& queue) const;
 
--- a/src/node_calls.cc
+++ b/src/node_calls.cc
@@ -16,10 +16,11 @@
 ENDIVEWOOD_CODEC(endivewood::ServiceDemand, v.upstreams, v.cpu_capacity, v.cpu_running,
                  v.cpu_lasting, v.cpu_waiting, v.cpu_offered, v.min_lasting_upstreams,
                  v.release_order, v.lost)
-ENDIVEWOOD_CODEC(endivewood::SubmitCall, v.spec, v.policy)
-ENDIVEWOOD_CODEC(endivewood::StatusCall, v.queue, v.service, v.job)
-ENDIVEWOOD_CODEC(endivewood::CancelCall, v.queue, v.service, v.job)
-ENDIVEWOOD_CODEC(endivewood::PendingCall, v.queue, v.service)
+ENDIVEWOOD_CODEC(endivewood::CallerCredential, v.account, v.key, v.config_version)
+ENDIVEWOOD_CODEC(endivewood::SubmitCall, v.spec, v.policy, v.credential)
+ENDIVEWOOD_CODEC(endivewood::StatusCall, v.queue, v.service, v.job, v.credential)
+ENDIVEWOOD_CODEC(endivewood::CancelCall, v.queue, v.service, v.job, v.credential)
+ENDIVEWOOD_CODEC(endivewood::PendingCall, v.queue, v.service, v.credential)
 ENDIVEWOOD_CODEC(endivewood::DemandCall, v.service, v.planned_millicores)
 ENDIVEWOOD_CODEC(endivewood::ReleaseCall, v.service, v.upstream)
 ENDIVEWOOD_CODEC(endivewood::OwnersCall, v.service)
@@ -176,6 +177,10 @@
       return "not-holder";
     case NodeStatus::kUncertain:
       return "uncertain";
+    case NodeStatus::kUnauthorized:
+      return "unauthorized";
+    case NodeStatus::kForbidden:
+      return "forbidden";
   }
   return "uncertain";
 }
--- a/src/node_calls.h
+++ b/src/node_calls.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <variant>
 
+#include "caller_credential.h"
 #include "job_scheduler.h"
 #include "order_carrier.h"
 
@@ -15,24 +16,28 @@
 struct SubmitCall {
   JobSpec spec;
   QueuePolicy policy;
+  CallerCredential credential;
 };
 
 struct StatusCall {
   QueueName queue;
   ServiceName service;
   JobId job;
+  CallerCredential credential;
 };
 
 struct CancelCall {
   QueueName queue;
   ServiceName service;
   JobId job;
+  CallerCredential credential;
 };
 
 /// Asks how many accepted jobs of a queue have not started.
 struct PendingCall {
   QueueName queue;
   ServiceName service;
+  CallerCredential credential;
 };
 
 /// Sent by the planner to ask how much capacity a service needs.
@@ -82,10 +87,12 @@
 enum class NodeStatus : std::uint8_t {
   kOk = 0,
   kUnknownJob,
-  kRefused,      ///< Not done, and it won't be; the caller may retry later.
-  kUnavailable,  ///< Nothing was done: no holder is known, or the store is unreachable.
-  kNotHolder,    ///< Nothing was done: this instance doesn't hold the partition.
-  kUncertain,    ///< The call may have been executed.
+  kRefused,       ///< Not done, and it won't be; the caller may retry later.
+  kUnavailable,   ///< Nothing was done: no holder is known, or the store is unreachable.
+  kNotHolder,     ///< Nothing was done: this instance doesn't hold the partition.
+  kUncertain,     ///< The call may have been executed.
+  kUnauthorized,  ///< Nothing was done: the caller's key has been withdrawn.
+  kForbidden,     ///< Nothing was done: the job is another account's.
 };
 
 const char* NodeStatusName(NodeStatus status);
--- /dev/null
+++ b/tests/client_account_test.cc
@@ -0,0 +1,289 @@
+/// @file
+/// Client accounts: decoding, the check of callers' keys, and what callers get while an instance
+/// may not know the newest configuration.
+#include <catch2/catch.hpp>
+
+#include "caller_wire.h"
+#include "fleet_wire.h"
+#include "instance_fixture.h"
+
+namespace endivewood::platform::testing {
+namespace {
+
+constexpr char kConfig[] = R"({"version":7,
+  "routes":[{"name":"r","host":"h.example","prefix":"/a/","service":"s","public":false},
+            {"name":"open","host":"h.example","prefix":"/open/","service":"s","public":true}],
+  "services":[{"name":"s"}],
+  "tenants":[{"name":"first","api_keys":["key-one","key-two"],"weight":211,
+              "max_count":{"cpu":5479368,"mem_mb":18100151,"gpu":0}},
+             {"name":"second","api_keys":["key-three",5,"","shared"],"weight":-3},
+             {"name":"third","api_keys":["shared"],"max_count":7},
+             {"api_keys":["key-four"]}, 12]})";
+
+HttpRequest Request(const std::string& method, const std::string& path,
+                    const std::vector<std::string>& authorization) {
+  HttpRequest request{.method = method, .path = path, .headers = {{"Host", "h.example"}}};
+  for (const std::string& value : authorization) {
+    request.headers.push_back({"authorization", value});
+  }
+  request.body = R"({"spec":"x","steps":[{"count":1,"cpu":100,"mem_mb":1,"est_ms":10}]})";
+  return request;
+}
+
+constexpr char kJobPath[] = "/a/0123456789abcdef";
+
+/// @returns the HTTP status of a request that needs no call; 0 if a call is made.
+int StatusOf(const FleetCatalog& catalog, const HttpRequest& request, bool current = true) {
+  const CallerRequest decoded = DecodeCallerRequest(request, &catalog, current);
+  const auto* const reply = std::get_if<HttpReply>(&decoded);
+  return reply == nullptr ? 0 : reply->status;
+}
+
+FleetCatalog Catalog() {
+  SilenceEvents();
+  const auto catalog = DecodeCatalog(kConfig);
+  REQUIRE(catalog);
+  return *catalog;
+}
+
+// Guards against limits cut to the size of one upstream, and against one malformed account, or a
+// key of two accounts, taking others out of service.
+TEST_CASE("accounts are decoded, and malformed ones are left out") {
+  const FleetCatalog catalog = Catalog();
+  REQUIRE(catalog.accounts);
+  REQUIRE(catalog.accounts->size() == 3);
+  const ClientAccount* const first = catalog.FindAccount(AccountName("first"));
+  REQUIRE(first != nullptr);
+  CHECK(first->weight == 211);
+  CHECK(first->limit.cpu_millicores == 5479368);
+  CHECK(first->limit.memory_mb == 18100151);
+  CHECK(first->limit.gpus == 0);
+  CHECK(catalog.FindAccount(AccountName("second"))->weight == 1);
+  CHECK(catalog.FindAccount(AccountName("third"))->limit == ResourceTotal{});
+  CHECK(catalog.AccountOfKey(KeyDigest::Of("key-two")) == first);
+  CHECK(catalog.AccountOfKey(KeyDigest::Of("key-three"))->name == AccountName("second"));
+  CHECK(catalog.AccountOfKey(KeyDigest::Of("shared")) == nullptr);
+  CHECK(catalog.AccountOfKey(KeyDigest()) == nullptr);
+}
+
+// Guards against demanding keys where the configuration has no accounts.
+TEST_CASE("without accounts in the configuration no key is asked for") {
+  std::string text = kConfig;
+  text.replace(text.find("\"tenants\""), 9, "\"others\"");
+  const auto catalog = DecodeCatalog(text);
+  REQUIRE(catalog);
+  CHECK_FALSE(catalog->accounts);
+  for (const char* method : {"POST", "GET", "DELETE"}) {
+    CHECK(StatusOf(*catalog, Request(method, kJobPath, {})) == 0);
+    CHECK(StatusOf(*catalog, Request(method, kJobPath, {"Bearer nonsense"})) == 0);
+  }
+}
+
+// Guards against a call without a key, or with a key that no configuration ever held.
+TEST_CASE("calls need a key of an account, except for public queues") {
+  const FleetCatalog catalog = Catalog();
+  for (const char* method : {"POST", "GET", "DELETE"}) {
+    CHECK(StatusOf(catalog, Request(method, kJobPath, {"Bearer key-one"})) == 0);
+    CHECK(StatusOf(catalog, Request(method, kJobPath, {})) == 401);
+    CHECK(StatusOf(catalog, Request(method, kJobPath, {"Bearer key-five"})) == 401);
+    CHECK(StatusOf(catalog, Request(method, "/open/0123456789abcdef", {})) == 0);
+    CHECK(StatusOf(catalog, Request(method, "/open/0123456789abcdef", {"Bearer x"})) == 0);
+    CHECK(StatusOf(catalog, Request(method, "/none/0123456789abcdef", {})) == 404);
+  }
+  CHECK(StatusOf(catalog, Request("GET", "/a/", {"Bearer key-one"})) == 0);
+  CHECK(StatusOf(catalog, Request("GET", "/a/", {})) == 401);
+}
+
+// Guards against odd headers that are accepted, or that cost more than an answer.
+TEST_CASE("malformed authorization headers are answered 401") {
+  const FleetCatalog catalog = Catalog();
+  const std::vector<std::vector<std::string>> malformed = {{"key-one"},
+                                                           {"Basic key-one"},
+                                                           {"Bearer"},
+                                                           {"Bearer "},
+                                                           {"Bearer key-one key-two"},
+                                                           {"Bearer key-one\x01"},
+                                                           {"Bearer " + std::string(65536, 'k')},
+                                                           {"Bearer key-one", "Bearer key-one"},
+                                                           {"Bearer key-one", "Bearer key-five"},
+                                                           {""}};
+  for (const auto& headers : malformed) {
+    CHECK(StatusOf(catalog, Request("POST", kJobPath, headers)) == 401);
+  }
+  CHECK(StatusOf(catalog, Request("POST", kJobPath, {"bearer   key-one  "})) == 0);
+}
+
+// Guards against a 401 for a key, or a queue that has become public, of a version that the instance
+// hasn't read.
+TEST_CASE("an unknown key is refused as unavailable while the configuration may be outdated") {
+  const FleetCatalog catalog = Catalog();
+  CHECK(StatusOf(catalog, Request("POST", kJobPath, {"Bearer key-five"}), false) == 503);
+  CHECK(StatusOf(catalog, Request("POST", kJobPath, {}), false) == 503);
+  CHECK(StatusOf(catalog, Request("POST", kJobPath, {"Bearer key-one"}), false) == 0);
+}
+
+// Guards against jobs of one account under the name of another.
+TEST_CASE("a submission names the account of its key") {
+  const FleetCatalog catalog = Catalog();
+  const CallerRequest decoded =
+      DecodeCallerRequest(Request("POST", kJobPath, {"Bearer key-two"}), &catalog, true);
+  const auto& call = std::get<SubmitCall>(std::get<NodeCall>(decoded));
+  CHECK(call.spec.account == AccountName("first"));
+  CHECK(call.credential.account == AccountName("first"));
+  CHECK(call.credential.config_version == 7);
+  NodeFrame frame{.id = 3, .body = NodeCall(call)};
+  std::string bytes = EncodeNodeFrame(frame);
+  CHECK(bytes.find("key-two") == std::string::npos);
+  bool malformed = false;
+  const auto read = TakeNodeFrame(&bytes, &malformed);
+  REQUIRE(read);
+  CHECK(std::get<SubmitCall>(std::get<NodeCall>(read->body)).credential == call.credential);
+}
+
+// Guards against a withdrawn key that an outdated instance accepts, and against a holder that
+// refuses a new key which it hasn't read yet.
+TEST_CASE("a holder with a newer configuration refuses withdrawn keys") {
+  const FleetCatalog catalog = Catalog();
+  CallerCredential credential{
+      .account = AccountName("first"), .key = KeyDigest::Of("withdrawn"), .config_version = 6};
+  const auto verdict = [&](const char* queue) {
+    return VerifyCredential(&catalog, QueueName(queue), credential);
+  };
+  CHECK(verdict("r") == CredentialVerdict::kWithdrawn);
+  CHECK(verdict("open") == CredentialVerdict::kAccepted);
+  CHECK(verdict("removed") == CredentialVerdict::kAccepted);
+  credential.config_version = 8;
+  CHECK(verdict("r") == CredentialVerdict::kAccepted);
+  credential = {.account = AccountName("first"), .key = KeyDigest::Of("key-one")};
+  CHECK(verdict("r") == CredentialVerdict::kAccepted);
+  credential.key = KeyDigest::Of("key-three");
+  CHECK(verdict("r") == CredentialVerdict::kWithdrawn);
+  credential = {.config_version = 6};
+  CHECK(verdict("r") == CredentialVerdict::kMissing);
+  CHECK(VerifyCredential(nullptr, QueueName("r"), credential) == CredentialVerdict::kAccepted);
+}
+
+// Guards against a caller that reads or cancels another account's job.
+TEST_CASE("jobs are shown to callers of their own account only") {
+  const AccountName first("first");
+  const AccountName second("second");
+  CHECK(MayAccess(first, first));
+  CHECK_FALSE(MayAccess(first, second));
+  CHECK(MayAccess(AccountName(), second));
+  CHECK(MayAccess(first, AccountName()));
+}
+
+// Guards against a job that forgets its account when its holder changes, or when it has ended.
+TEST_CASE("a job's account is stored with it, and with its result") {
+  const JobRecord record{
+      .spec = {.id = JobId("j"), .steps = {{.count = 1}}, .account = AccountName("a")}};
+  const KeyedRecord stored{.key = JobKey(JobId("j")), .value = EncodeJobRecord(record)};
+  CHECK(std::get<JobRecord>(DecodeJobStoreRecord(stored)).spec.account == AccountName("a"));
+  const JobResult result{.queue = QueueName("q"), .account = AccountName("a")};
+  const KeyedRecord ended{.key = JobKey(JobId("j")), .value = EncodeJobResult(result)};
+  CHECK(std::get<JobResult>(DecodeJobStoreRecord(ended)).account == AccountName("a"));
+}
+
+/// A configuration that lists the keys in its text, "VERSION KEY KEY ...", for one account.
+std::optional<FleetCatalog> DecodeKeys(const std::string& value) {
+  std::istringstream words(value);
+  FleetCatalog catalog{.queues = {{.name = QueueName("q"),
+                                   .host = "h.example",
+                                   .prefix = "/q/",
+                                   .service = ServiceName("s")}},
+                       .services = {{.name = ServiceName("s")}}};
+  words >> catalog.version;
+  ClientAccount account{.name = AccountName("a"), .keys = {}};
+  for (std::string key; words >> key;) account.keys.push_back(KeyDigest::Of(key));
+  catalog.accounts = {account};
+  return catalog;
+}
+
+const std::vector<HttpHeader> kNewKey = {{"Authorization", "Bearer new-key"}};
+constexpr int kUnauthorized = 401;
+constexpr int kUnavailable = 503;
+constexpr Milliseconds kLoaded{300};
+constexpr Milliseconds kOutdated{2600};  ///< Beyond the bound of the next settings.
+
+void SetConfigBound(PlatformSettings* settings) { settings->config_bound = Milliseconds(2000); }
+
+// Guards against a 401 for a key that was added before the request.
+TEST_CASE("an unknown key is looked up in the newest configuration before a 401") {
+  InstanceFixture fixture(21962, &DecodeKeys);
+  fixture.At(kLoaded, [&] {
+    fixture.log.reads = Reads::kWaitsMissChanges;
+    fixture.log.Publish("2 new-key");
+    fixture.Ask("q", kNewKey);
+  });
+  fixture.loop.Run();
+  CHECK(fixture.status != 0);
+  CHECK(fixture.status != kUnauthorized);
+  CHECK(fixture.node->catalog()->version == 2);
+}
+
+// Guards against waiting for an answer that is certain.
+TEST_CASE("a key that no account has is answered 401 at once") {
+  InstanceFixture fixture(21965, &DecodeKeys);
+  fixture.At(kLoaded, [&] { fixture.Ask("q", kNewKey); });
+  fixture.loop.Run();
+  CHECK(fixture.status == kUnauthorized);
+  CHECK(fixture.took < Milliseconds(500));
+}
+
+// Guards against a 401 by an instance that can't know the newest keys.
+TEST_CASE("an unknown key isn't answered 401 while the store doesn't answer") {
+  InstanceFixture fixture(21968, &DecodeKeys);
+  fixture.At(kLoaded, [&] { fixture.log.reads = Reads::kSilent; });
+  fixture.At(kOutdated, [&] { fixture.Ask("q", kNewKey); });
+  fixture.loop.Run();
+  CHECK(fixture.status == kUnavailable);
+}
+
+// Guards against a withdrawn key that is accepted by an instance whose reads missed its withdrawal.
+TEST_CASE("keys are checked against the newest configuration when the known one may be outdated") {
+  InstanceFixture fixture(21971, &DecodeKeys, [](PlatformSettings* settings) {
+    settings->config_bound = Milliseconds(1);
+  });
+  fixture.At(kLoaded, [&] { fixture.log.Publish("2 new-key"); });
+  fixture.At(2 * kLoaded, [&] {
+    fixture.log.reads = Reads::kWaitsMissChanges;
+    fixture.log.Publish("3 other-key");
+    fixture.Ask("q", kNewKey);
+  });
+  fixture.loop.Run();
+  CHECK(fixture.status == kUnauthorized);
+}
+
+/// @returns the answer to a known key while the store hasn't answered for longer than the bound.
+int AskWithoutStore(std::uint16_t port, bool strict) {
+  InstanceFixture fixture(port, &DecodeKeys, [&](PlatformSettings* settings) {
+    SetConfigBound(settings);
+    settings->strict_revocation = strict;
+  });
+  std::string reason;
+  fixture.At(kLoaded, [&] { fixture.log.Publish("2 new-key"); });
+  fixture.At(2 * kLoaded, [&] { fixture.log.reads = Reads::kSilent; });
+  std::vector<std::string> rejected;
+  SetEventSink({.enabled = [](EventLevel) { return true; },
+                .write =
+                    [&](Event event, const std::vector<EventField>& fields) {
+                      for (const EventField& field : fields) rejected.push_back(field.value);
+                      if (event == Event::kCallAnswered) reason = "forwarded";
+                    }});
+  fixture.At(2 * kOutdated, [&] { fixture.Ask("q", kNewKey); });
+  fixture.loop.Run();
+  SilenceEvents();
+  for (const std::string& value : rejected) CHECK(value.find("new-key") == std::string::npos);
+  CHECK(fixture.node->Dump().find("new-key") == std::string::npos);
+  return reason == "forwarded" ? 0 : fixture.status;
+}
+
+// Guards against an instance that serves nobody, or that accepts withdrawn keys against its
+// settings, while the store is away. Also checks that keys don't appear in logs and dumps.
+TEST_CASE("the last known keys hold without the store, unless revocation is strict") {
+  CHECK(AskWithoutStore(21974, false) == 0);
+  CHECK(AskWithoutStore(21977, true) == kUnavailable);
+}
+
+}  // namespace
+}  // namespace endivewood::platform::testing
