Let the run of real processes know client accounts

Cause: scripts/incarnation_run.py had no accounts: keys and limits that change under restarts were checked by no run of real processes.

Against a build with accounts: not run yet.

--- a/scripts/incarnation_run.py
+++ b/scripts/incarnation_run.py
@@ -5,7 +5,8 @@
 overlapping faults. Executors go dark, start again and are cut off soon after, nodes are killed or
 paused, the store is down, slow or loses answers, and partitions are dealt anew. The executors check
 that no task runs on two of them at once and that none starts after an acknowledged end `done`; at
-the end every accepted job has to complete. The seed gives the faults and jobs; how they meet the
+the end every accepted job has to complete. Unless --without-accounts is given, the configuration
+has client accounts, whose keys and limits change meanwhile (account_checks.py). The seed gives the faults and jobs; how they meet the
 processes' work differs between runs.
 """
 import argparse
@@ -23,12 +24,14 @@
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), ".."))
 sys.path.insert(0, os.path.join(ROOT, "review", "standins"))
 import platform_bed  # noqa: E402
+from account_checks import PUBLIC, Accounts, Disturbances  # noqa: E402
 from platform_bed import DROP, Bed, Executor, now_ms, read_message, serve  # noqa: E402
 
 HEARTBEAT_MS = 1500
 SILENT_MS = 3 * HEARTBEAT_MS  # An entry is removed after this time without a heartbeat.
 FINISH_S = 75
 POLL_S = 0.005
+LAG_MS = 300  # A later event loop counts as a disturbance of the whole run.
 
 
 class RestartingExecutor(Executor):
@@ -212,6 +215,7 @@
         self.broken, self.accepted = [], []
         self.store_loss, self.store_cut = 0.0, set()  # share of lost answers; nodes without a path
         self.lag_ms, self.burst_until = 0.0, 0.0  # Until then more jobs are handed in.
+        self.accounts, self.disturbed = None, Disturbances()
 
     def duration(self, task, run):
         return random.Random("%s %s" % (self.seed, task)).uniform(*self.durations[task.split(".")[0]])
@@ -243,6 +247,8 @@
                 self.breach("start of %s after a noted end" % task, new, earlier)
         self.runs[task].append(new)
         super().on_start(executor, task, run, spec, checkpoint)
+        if self.accounts is not None:
+            self.accounts.check_start(task, request)
 
     def run_of(self, executor, task, run):
         return next(each for each in reversed(self.runs[task]) if each["executor"] is executor and
@@ -357,6 +363,7 @@
             return
         self.busy_nodes.add(number)
         self.bed.faults[kind] += 1
+        self.bed.disturbed.begin(number)
         if kind == "kill":
             self.bed.signal_node(number, signal.SIGKILL)
             await self.bed.nodes[number].wait()
@@ -371,12 +378,14 @@
             self.bed.store_cut.add(number)
             await asyncio.sleep(chance.uniform(0.5, 6))
             self.bed.store_cut.discard(number)
+        self.bed.disturbed.end(number)
         self.busy_nodes.discard(number)
 
     async def store(self, chance, after=0.0):
         await asyncio.sleep(after)
         bed, kind = self.bed, chance.choice(["busy", "reset", "silent", "slow", "loses"])
         bed.record("store: %s" % kind)
+        bed.disturbed.begin("store")
         if kind == "slow":
             bed.store.extra_ms = chance.uniform(50, 600)
         elif kind == "loses":
@@ -385,6 +394,7 @@
             bed.store.down = kind
         await asyncio.sleep(chance.uniform(0.5, 5))
         bed.store.down, bed.store.extra_ms, bed.store_loss = "", 0.0, 0.0
+        bed.disturbed.end("store")
         bed.record("store: sound")
 
     async def deal(self, chance):
@@ -420,7 +430,12 @@
         bed.executors.append(executor)
         await executor.start()
     routes = [{"name": "r-" + each, "prefix": "/%s/" % each, "service": each} for each in services]
-    await bed.configure(7, routes, [(each, False) for each in services])
+    pools = [(each, False) for each in services]
+    if bed.accounts is None:
+        await bed.configure(7, routes, pools)
+    else:
+        routes.append({"name": "r-open", "prefix": "/%s/" % PUBLIC, "service": services[0], "public": True})
+        await bed.accounts.write(routes, pools)
     for node in nodes:
         await bed.start_store_path(node)
         await bed.start_node(node)
@@ -431,14 +446,20 @@
             before = now_ms()
             await asyncio.sleep(0.01)
             bed.lag_ms = max(bed.lag_ms, now_ms() - before - 10)
+            if now_ms() - before > LAG_MS:
+                bed.disturbed.spans["run"].append([before, now_ms()])
 
     async def hand_in(order, path, body):
-        if await bed.submit(order, path, body):
+        if await (bed.submit if bed.accounts is None else bed.accounts.hand_in)(order, path, body):
             bed.accepted.append(path)
 
     lag = asyncio.ensure_future(watch_lag())
     until = now_ms() + seconds * 1000
     faults = asyncio.ensure_future(Faults(bed, until).play())
+    others = []
+    if bed.accounts is not None:
+        others = [asyncio.ensure_future(bed.accounts.operate(until, routes, pools)),
+                  asyncio.ensure_future(bed.accounts.probe(until, services, nodes))]
     handed_in = []
     while now_ms() < until:
         job, service, long = "%016x" % chance.getrandbits(64), chance.choice(services), chance.random() < 0.4
@@ -448,12 +469,14 @@
         order = chance.sample(nodes, len(nodes))
         handed_in.append(asyncio.ensure_future(hand_in(order, "/%s/%s" % (service, job), body)))
         await asyncio.sleep(chance.uniform(0.1, 0.4) / (6 if now_ms() < bed.burst_until else 1))
-    await faults
+    await asyncio.gather(faults, *others)
     bed.record("the faults are over")
     await asyncio.wait(handed_in, timeout=20)
     missing, end, at = list(bed.accepted), now_ms() + FINISH_S * 1000, 0
     while missing and now_ms() < end:
-        status, text = await bed.request(nodes[at % len(nodes)], "GET", missing[at % len(missing)])
+        path = missing[at % len(missing)]
+        status, text = await (bed.request if bed.accounts is None else bed.accounts.ask_as_owner)(
+            nodes[at % len(nodes)], "GET", path)
         if status == 200 and json.loads(text).get("state") == "complete":
             missing.pop(at % len(missing))
         else:
@@ -474,6 +497,11 @@
     platform_bed.ROOT = folder
     platform_bed.SETTINGS = platform_bed.SETTINGS.replace('"{prefix}.200', '"{prefix}.15{number}')
     bed = RunBed(folder, options.seed)
+    if not options.without_accounts:
+        strict = random.Random("%s strict" % options.seed).random() < 0.3
+        bed.accounts = Accounts(bed, strict)
+        platform_bed.SETTINGS = platform_bed.SETTINGS.replace(
+            "[bounds]\n", "[bounds]\nstrict_revoke = %s\n" % str(strict).lower())
     os.rmdir(bed.work)
     bed.work, os.environ["KEEP_LOGS"] = folder, "1"
     try:
@@ -485,6 +513,8 @@
     print("%d nodes, %d executors, %d jobs, %d starts (%d by a next incarnation), faults %s, event loop up to "
           "%d ms late" % (len(bed.nodes), len(bed.executors), len(bed.accepted), len(bed.starts), late,
                           dict(bed.faults), bed.lag_ms))
+    if bed.accounts is not None:
+        print("accounts: " + bed.accounts.summary())
     for text in bed.broken[:20]:
         print("  " + text)
     if not bed.broken and not options.keep_logs:
@@ -498,6 +528,7 @@
     parser.add_argument("--bin", default=os.path.join(ROOT, "target", "bin"), help="folder of endivewood-node")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=60, help="time with faults and new jobs")
+    parser.add_argument("--without-accounts", action="store_true", help="no client accounts")
     parser.add_argument("--keep-logs", help="folder for the record and the nodes' logs")
     raise SystemExit(asyncio.run(run(parser.parse_args())))
 
