Draw once an expression in tests with random plays

The order in which operands and arguments are evaluated isn't specified: GCC evaluates arguments from right to left on x86-64 and from left to right on arm64. Each draw now has a statement of its own, in the order of arm64.

The four other tests were only checked for syntax here.

--- a/tests/fleet_property_test.cc
+++ b/tests/fleet_property_test.cc
@@ -112,7 +112,9 @@
   static std::string RandomConfig() {
     std::array<int, 3> budgets{};
     for (int& budget : budgets) budget = *rc::gen::inRange(0, 4);
-    return Config(budgets, *rc::gen::arbitrary<bool>(), *rc::gen::inRange(6, kInstances + 1));
+    // One draw a statement: the order in which arguments are evaluated differs between machines.
+    const bool swapped = *rc::gen::arbitrary<bool>();
+    return Config(budgets, swapped, *rc::gen::inRange(6, kInstances + 1));
   }
 
   int m_number;
--- a/tests/former_incarnation_test.cc
+++ b/tests/former_incarnation_test.cc
@@ -316,19 +316,27 @@
 void PlayRestartsAndCuts(unsigned seed, bool resets_connections) {
   CAPTURE(seed);
   std::mt19937 random(seed);
+  // At most one draw an expression: the order in which operands and arguments are evaluated differs
+  // between machines.
   const auto draw = [&](int most) {
     return std::uniform_int_distribution<int>(0, most - 1)(random);
   };
+  const auto draw_or_zero = [&](int most) {
+    const bool zero = draw(2) == 0;
+    const int value = draw(most);
+    return zero ? 0 : value;
+  };
   SchedulerSimulation simulation({.upstreams = 5, .seed = seed});
   simulation.task_duration = Milliseconds(8000);
   simulation.lost_answer_share = 0.05;
   simulation.resets_connections = resets_connections;
   for (int round = 0; round < 60; ++round) {
-    simulation.Submit(
-        simulation.Spec("job" + std::to_string(round), {Step(1 + draw(3), 500 + draw(1000))}),
-        test_policy);
-    simulation.dark_order_delay = Milliseconds(draw(2) * draw(3000));
-    simulation.answer_time = Milliseconds(10 + draw(2) * draw(500));
+    const int count = 1 + draw(3);
+    const int cpu = 500 + draw(1000);
+    simulation.Submit(simulation.Spec("job" + std::to_string(round), {Step(count, cpu)}),
+                      test_policy);
+    simulation.dark_order_delay = Milliseconds(draw_or_zero(3000));
+    simulation.answer_time = Milliseconds(10 + draw_or_zero(500));
     FakeUpstream& upstream = *simulation.upstreams[draw(5)];
     switch (draw(6)) {
       case 0:
--- a/tests/frame_test.cc
+++ b/tests/frame_test.cc
@@ -111,7 +111,11 @@
     const unsigned corruption = random() % 3;
     if (corruption == 0) bytes.resize(random() % bytes.size());
     if (corruption == 1) bytes[random() % bytes.size()] ^= static_cast<char>(1U << (random() % 8));
-    if (corruption == 2) bytes.insert(random() % bytes.size(), 1, static_cast<char>(random()));
+    if (corruption == 2) {
+      // One draw a statement: the order in which arguments are evaluated differs between machines.
+      const std::size_t position = random() % bytes.size();
+      bytes.insert(position, 1, static_cast<char>(random()));
+    }
     bool malformed = false;
     bool malformed_split = false;
     const std::size_t found = DecodeAll(bytes, bytes.size(), &malformed);
--- a/tests/incarnation_property_test.cc
+++ b/tests/incarnation_property_test.cc
@@ -25,7 +25,7 @@
       : m_faults(faults),
         m_random(seed),
         m_simulation(
-            {.upstreams = 4, .seed = seed, .max_transit = Milliseconds(20 + Draw(2) * Draw(500))}) {
+            {.upstreams = 4, .seed = seed, .max_transit = Milliseconds(20 + DrawOrZero(500))}) {
     m_simulation.unix_offset = Milliseconds(1000000);
     m_simulation.lost_answer_share = 0.02 * Draw(5);
     m_simulation.late_share = faults.late_orders ? 0.02 * Draw(6) : 0;
@@ -34,7 +34,7 @@
     for (const auto& upstream : m_simulation.upstreams) {
       upstream->entry.start_time = UnixTime();
       upstream->clock_rate = Draw(2) == 0 ? 1.0 : 0.98;
-      upstream->stop_time = Milliseconds(Draw(2) * Draw(500));
+      upstream->stop_time = Milliseconds(DrawOrZero(500));
       upstream->late_by_order = Draw(2) == 0;
       upstream->keeps_acknowledgements = Draw(2) == 0;
       if (faults.short_run_lists) upstream->listed_ends = 1 + Draw(3);
@@ -92,12 +92,22 @@
   const SchedulerSimulation& simulation() const { return m_simulation; }
 
  private:
+  /// At most one draw an expression: the order in which operands and arguments are evaluated
+  /// differs between machines.
   int Draw(int most) { return std::uniform_int_distribution<int>(0, most - 1)(m_random); }
 
+  int DrawOrZero(int most) {
+    const bool zero = Draw(2) == 0;
+    const int value = Draw(most);
+    return zero ? 0 : value;
+  }
+
   std::int64_t UnixTime() const { return 1000000 + m_simulation.now.count(); }
 
   void SubmitJob(int round) {
-    StepSpec step = Step(1 + Draw(3), 500 + Draw(2000));
+    const int count = 1 + Draw(3);
+    const int cpu = 500 + Draw(2000);
+    StepSpec step = Step(count, cpu);
     step.estimate = m_simulation.task_duration;
     m_simulation.Submit(m_simulation.Spec("job" + std::to_string(round), {step}), test_policy);
   }
@@ -193,7 +203,7 @@
     std::int64_t start_time = UnixTime();
     if (m_faults.clock_steps && Draw(3) == 0) start_time -= Draw(60000);
     upstream->clock_rate = Draw(2) == 0 ? 1.0 : 0.98;
-    upstream->Restart(m_simulation.now, start_time, Milliseconds(Draw(2) * Draw(100000)));
+    upstream->Restart(m_simulation.now, start_time, Milliseconds(DrawOrZero(100000)));
     if (m_faults.hidden_restarts && Draw(3) == 0) upstream->outdated_entry = former;
     m_simulation.Run(Milliseconds(Draw(1500)));
     upstream->reachable = Draw(2) == 0;
--- a/tests/job_scheduler_test.cc
+++ b/tests/job_scheduler_test.cc
@@ -466,6 +466,8 @@
 void PlayRandomFaults(unsigned seed, std::size_t listed_ends) {
   CAPTURE(seed, listed_ends);
   std::mt19937 random(seed);
+  // At most one draw an expression: the order in which arguments are evaluated differs between
+  // machines.
   const auto draw = [&](int most) {
     return std::uniform_int_distribution<int>(0, most - 1)(random);
   };
@@ -475,11 +477,15 @@
   simulation.delayed_order_share = 0.05;
   std::int64_t start_time = 2;
   for (int round = 0; round < 60; ++round) {
-    StepSpec second = Step(1 + draw(4), 500 + draw(3000));
+    const int second_count = 1 + draw(4);
+    const int second_cpu = 500 + draw(3000);
+    const int first_count = 1 + draw(6);
+    const int first_cpu = 500 + draw(2000);
+    StepSpec second = Step(second_count, second_cpu);
     second.depends = {0};
-    simulation.Submit(simulation.Spec("job" + std::to_string(round),
-                                      {Step(1 + draw(6), 500 + draw(2000)), second}),
-                      test_policy);
+    simulation.Submit(
+        simulation.Spec("job" + std::to_string(round), {Step(first_count, first_cpu), second}),
+        test_policy);
     FakeUpstream& upstream = *simulation.upstreams[draw(5)];
     switch (draw(8)) {
       case 0:
--- a/tests/odd_entries_test.cc
+++ b/tests/odd_entries_test.cc
@@ -263,7 +263,9 @@
   const std::string reply_frame = EncodeNodeFrame(
       {.id = 8, .body = NodeReply{.owners = {{.partition = 1, .endpoint = {"127.0.0.1", 1}}}}});
   for (int round = 0; round < rounds; ++round) {
-    DecodeUpstream(Mutated(kKey, &random), Mutated(Entry(), &random));
+    // One draw a statement: the order in which arguments are evaluated differs between machines.
+    const std::string key = Mutated(kKey, &random);
+    DecodeUpstream(key, Mutated(Entry(), &random));
     DecodeCatalog(Mutated(config, &random));
     DecodeWave(Mutated(R"({"wave":3,"machines":["m"],"deadline_s":40,"max_count":2})", &random));
     DecodeRenewReply(Reply(Mutated(runs, &random)));
--- a/tests/snapshot_test.cc
+++ b/tests/snapshot_test.cc
@@ -17,7 +17,9 @@
 // ids that detect repeated appends.
 TEST_CASE("folding a whole stream and folding on from any snapshot give the same state") {
   CHECK(rc::check([] {
-    const auto stream = RandomStream(*rc::gen::inRange(20, 80), *rc::gen::arbitrary<unsigned>());
+    // One draw a statement: the order in which arguments are evaluated differs between machines.
+    const int size = *rc::gen::inRange(20, 80);
+    const auto stream = RandomStream(size, *rc::gen::arbitrary<unsigned>());
     const auto split_offset = *rc::gen::inRange<std::size_t>(1, stream.size());
     FleetFold whole;
     std::string state;
