Hold a task whose earlier start a new incarnation may still execute

When an upstream has started again, its starts without an answer of the last 15 s are stopped there, as the new incarnation may still execute them. Their tasks could start elsewhere in the same pass, because the run that had been listed was known to be over, or because the task was waiting. A late start then made a second run. Such a task now counts as placed there until the stop is confirmed or the lease has ended.

Without an answer of the new incarnation it waits for the longest lease, like a task whose only start has no answer.

--- a/src/job_scheduler.h
+++ b/src/job_scheduler.h
@@ -222,6 +222,9 @@
   /// this holder can't reach.
   Milliseconds InheritedLeaseEnd(const UpstreamSession& session) const;
   void StopUnansweredStarts(UpstreamSession* session, Milliseconds now);
+  /// Keeps a waiting task from starting elsewhere until a start that may still be executed on this
+  /// upstream has been stopped, or its lease has ended.
+  void HoldTask(const UpstreamSession& session, const UpstreamSession::UnansweredStart& start);
   // job_scheduler_run_lists.cc
   void ProcessEndedRows(UpstreamSession* session, const std::vector<EndedRow>& rows,
                         Milliseconds now);
--- a/src/job_scheduler_incarnations.cc
+++ b/src/job_scheduler_incarnations.cc
@@ -104,16 +104,31 @@
 
 /// Neither a new incarnation nor one whose lease had ended knows that the runs of earlier starts
 /// aren't wanted any more. Each start that may still be executed is therefore stopped there and
-/// keeps its reservation until the stop is confirmed.
+/// keeps its reservation until the stop is confirmed. Unless its task has been placed elsewhere, it
+/// waits for that too.
 void JobScheduler::StopUnansweredStarts(UpstreamSession* session, Milliseconds now) {
   for (const UpstreamSession::UnansweredStart& start : session->unanswered_starts) {
     const auto known = session->hosted.find(start.task);
     // A stop also rejects earlier runs of the task.
     if (known != session->hosted.end() && known->second.run >= start.run) continue;
+    HoldTask(*session, start);
     HostedRun& run = session->hosted.Put(
         start.task, {.run = start.run, .reserved = start.reserved, .ordered_at = start.sent_at});
     Stop(session, start.task, &run, now);
   }
 }
 
+void JobScheduler::HoldTask(const UpstreamSession& session,
+                            const UpstreamSession::UnansweredStart& start) {
+  const auto found = m_jobs.find(start.task.job);
+  TaskState* const task = found == m_jobs.end() ? nullptr : found->second->Find(start.task);
+  if (task == nullptr || task->done) return;
+  if (!task->placed) {
+    ++found->second->occurrences().at(start.task.occurrence).steps[start.task.step].placed;
+  } else if (task->placed->upstream != session.entry.id || task->placed->run > start.run) {
+    return;
+  }
+  task->placed = PlacedRun{.upstream = session.entry.id, .run = start.run};
+}
+
 }  // namespace endivewood
