--- a/src/events.h
+++ b/src/events.h
@@ -115,6 +115,8 @@
   kMoveHeld = 721,
   kRoomHeld = 722,
   kTokensExhausted = 723,
+  kTaskWaitsForLimit = 730,
+  kLimitLowered = 731,
   // Partitions of the job store, and the calls of callers.
   kPartitionClaimed = 800,
   kPartitionLoaded = 801,
@@ -137,6 +139,8 @@
   kCarrierLost = 818,
   kCarryRefused = 819,
   kCallerRejected = 820,
+  kShareGranted = 824,
+  kShareCallFailed = 825,
   // Machines of the platform.
   kMaintenanceOrdered = 900,
   kMoveOrdered = 901,
