Start nothing beyond the fair part of a limit while others wait

A holder under contention restarted its ended tasks within its share before its next call gave the parts back, so a second service got nothing for as long as the first had work. Parts are also kept while calls fail: what a lost call gives back can't be had again.

--- a/src/account_shares.cc
+++ b/src/account_shares.cc
@@ -83,9 +83,11 @@
   bool permitted = true;
   ForEachResource([&](auto resource) {
     if (state.limit.*resource == 0 || needed.*resource <= 0) return;
-    // A share beyond the limit is meant for one task that is larger than the limit.
-    const std::int64_t bound =
-        alone ? state.share.*resource : std::min(state.share.*resource, state.limit.*resource);
+    std::int64_t bound = state.share.*resource;
+    // A share beyond the limit, or beyond the fair part, is meant for one task that needs it.
+    if (!alone) bound = std::min(bound, state.limit.*resource);
+    // What ends beyond the fair part isn't replaced while others wait.
+    if (!alone && state.contended) bound = std::min(bound, state.fair.*resource);
     permitted = permitted && used.*resource + needed.*resource <= bound;
   });
   return permitted;
@@ -138,7 +140,8 @@
   if (state.frozen) return Milliseconds(config::kShareRetryMs);
   if (IsBlocked(state)) return m_raised ? shortest : Milliseconds(config::kShareRetryMs);
   const ResourceTotal keep = KeepOf(state);
-  if (keep != state.share && (state.contended || IsWorthReturning(state.share, keep))) {
+  if (m_answered && keep != state.share &&
+      (state.contended || IsWorthReturning(state.share, keep))) {
     return shortest;
   }
   const bool unused = state.share != LimitedPart(state.load.used, state.limit);
@@ -178,8 +181,9 @@
     }
     if (state.known) {
       const ResourceTotal keep = KeepOf(state);
-      const bool at_once = state.contended || state.frozen;
-      if (at_once || IsWorthReturning(state.share, keep)) state.share = keep;
+      // A part that is given back by a lost call helps nobody and can't be had again.
+      const bool heard = m_answered && (state.contended || IsWorthReturning(state.share, keep));
+      if (heard || state.frozen) state.share = keep;
       request.keep = state.share;
     }
     state.lowered = false;
@@ -196,6 +200,7 @@
   // Parts may have been returned since an older call was sent.
   if (!m_in_flight || reply.sequence != m_sequence) return false;
   m_in_flight = false;
+  m_answered = true;
   m_raised = false;
   for (const GrantedShare& granted : reply.shares) {
     const auto found = m_accounts.find(granted.account);
@@ -220,6 +225,7 @@
 void AccountShares::OnFailed(std::uint64_t sequence, Milliseconds now) {
   if (!m_in_flight || sequence != m_sequence) return;
   m_in_flight = false;
+  m_answered = false;
   m_raised = false;
   m_sent_at = now;
   ScheduleCall();
--- a/tests/account_shares_test.cc
+++ b/tests/account_shares_test.cc
@@ -159,6 +159,27 @@
   CHECK_FALSE(play.MayStart(10, 1));
 }
 
+// Guards against a service that starts new work in every part that comes free, while another one
+// gets none.
+TEST_CASE("while others wait nothing starts beyond the fair part") {
+  SharesPlay play;
+  play.Begin(0);
+  play.Load(0, 100, 5);
+  play.Call();
+  play.Answer(100);
+  play.Load(90, 50, 5);
+  play.Call();
+  play.Answer(100, /*contended=*/true, /*fair=*/50);
+  CHECK_FALSE(play.MayStart(90, 5));
+  CHECK(play.MayStart(45, 5));
+  play.Load(60, 50, 5);
+  CHECK(play.Call().keep == Cpu(60));
+  play.Answer(60, /*contended=*/true, /*fair=*/4);
+  // A single task may be larger than the fair part.
+  CHECK_FALSE(play.MayStart(1, 5));
+  CHECK(play.MayStart(0, 5));
+}
+
 // Guards against a share that nobody uses and that stays with a service for good.
 TEST_CASE("an unused part is given back after a while") {
   SharesPlay play;
