Keep what runs for an account within its limit

Before each start the scheduler checks the partition's share of the account's limit against everything that runs or may run: hosted runs in any state, starts without an answer, and what earlier holders may have started. Holders ask the holder of partition 0 for shares by a new call between instances, and their dumps show them. A task that only its share stops holds up no other account and adds no demand beyond the limit.

--- a/src/job_node.cc
+++ b/src/job_node.cc
@@ -178,6 +178,7 @@
   AskPeersForOwners(now);
   UpdateCarriers(now);
   RunTerms(now);
+  UpdateLedger();
   RunPlanner(now);
   Milliseconds next = now + Milliseconds(config::kStandbyOwnersIntervalMs);
   next = std::min(next, m_operators.NextDue());
@@ -443,6 +444,7 @@
     JobScheduler& scheduler = term->scheduler();
     if (scheduler.NextDue(now) <= now) scheduler.Run(now, UnixOffset(), RightsAt(now));
     SendOrders(term);
+    SendShareCall(term, now);
     if (scheduler.fenced_out()) term->End("an upstream has seen a newer fencing token");
   }
   const auto call = term->TakeCall(now);
@@ -504,6 +506,7 @@
                                        {"services", m_catalog->services.size()}});
       for (const auto& callback : m_catalog_callbacks) callback(*m_catalog);
       if (m_planner) m_planner->SetCatalog(*m_catalog);
+      if (m_ledger) m_ledger->SetAccounts(m_catalog->accounts);
       ApplyRegistry();
     } else if (key.starts_with(m_options.names.wave_prefix)) {
       auto wave = m_callbacks.decode_wave(value);
--- a/src/job_node.h
+++ b/src/job_node.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <set>
 
+#include "account_ledger.h"
 #include "event_loop.h"
 #include "fleet_catalog.h"
 #include "group_membership.h"
@@ -140,6 +141,14 @@
   void RunTerm(PartitionTerm* term, Milliseconds now);
   void RunHandover(const std::shared_ptr<PartitionTerm>& term, Milliseconds now);
   void AnswerHandover(const HandoverCall& call, const Answer& answer);
+  // job_node_accounts.cc
+  /// Keeps the ledger of the accounts' limits while this instance holds partition 0.
+  void UpdateLedger();
+  void AnswerShare(const ShareCall& call, const Answer& answer);
+  void SendShareCall(const Term& term, Milliseconds now);
+  void OnShareReply(const Term& term, std::uint64_t sequence, const std::optional<NodeReply>& reply,
+                    const char* cause);
+
   void RunPlanner(Milliseconds now);
   void SendPlannerCalls();
   void SendMachineCall(const MachineCall& call);
@@ -200,6 +209,10 @@
   std::map<std::string, RegistryEntry> m_registry_entries;
   std::map<int, std::shared_ptr<PartitionTerm>> m_terms;
   std::unique_ptr<MaintenancePlanner> m_planner;
+  /// Ledger of the accounts' limits, and the term of partition 0 that it belongs to.
+  std::unique_ptr<AccountLedger> m_ledger;
+  Term m_ledger_term;
+  Milliseconds m_share_failure_reported{-1000};
   InstanceOrders m_instance_orders;
   std::map<int, Endpoint> m_owners;
   std::uint64_t m_owners_generation = 0;  ///< The group's generation when m_owners was read.
--- a/src/job_node_calls.cc
+++ b/src/job_node_calls.cc
@@ -189,6 +189,10 @@
     AnswerHandover(*handover, answer);
     return;
   }
+  if (const auto* share = std::get_if<ShareCall>(&call)) {
+    AnswerShare(*share, answer);
+    return;
+  }
   if (std::holds_alternative<OwnersCall>(call)) {
     NodeReply known{.status = NodeStatus::kOk};
     for (const auto& [owned, endpoint] : m_owners) {
--- a/src/job_node_dump.cc
+++ b/src/job_node_dump.cc
@@ -7,6 +7,22 @@
 namespace endivewood {
 namespace {
 
+nlohmann::json DumpTotal(const ResourceTotal& total) {
+  return {{"millicores", total.cpu_millicores}, {"mb", total.memory_mb}, {"gpus", total.gpus}};
+}
+
+nlohmann::json DumpLedger(const AccountLedger& ledger) {
+  nlohmann::json partitions = nlohmann::json::object();
+  for (const int partition : ledger.partitions()) {
+    nlohmann::json shares = nlohmann::json::object();
+    for (const auto& [account, share] : ledger.SharesOf(partition)) {
+      shares[account.str()] = DumpTotal(share);
+    }
+    partitions[std::to_string(partition)] = std::move(shares);
+  }
+  return partitions;
+}
+
 nlohmann::json DumpTerm(const PartitionTerm& term) {
   nlohmann::json upstreams = nlohmann::json::array();
   for (const auto& [id, session] : term.scheduler().sessions()) {
@@ -23,7 +39,19 @@
                          {"held_for", session.held.size()},
                          {"unanswered", session.unanswered}});
   }
+  nlohmann::json shares = nlohmann::json::array();
+  for (const auto& [account, state] : term.scheduler().shares().accounts()) {
+    if (state.share == ResourceTotal{} && state.load == AccountLoad{}) continue;
+    shares.push_back({{"account", account.str()},
+                      {"known", state.known},
+                      {"frozen", state.frozen},
+                      {"contended", state.contended},
+                      {"share", DumpTotal(state.share)},
+                      {"used", DumpTotal(state.load.used)},
+                      {"waiting", DumpTotal(state.load.waiting)}});
+  }
   return {{"partition", term.options().partition.number},
+          {"shares", std::move(shares)},
           {"epoch", term.options().epoch},
           {"active", term.active()},
           {"jobs", term.scheduler().jobs().size()},
@@ -71,6 +99,7 @@
       {"carriers", m_carriers.known()},
       {"usable_carriers", m_carriers.usable(now)},
       {"planner", m_planner != nullptr},
+      {"ledger", m_ledger ? DumpLedger(*m_ledger) : nlohmann::json()},
       {"owners", std::move(owners)},
       {"terms", std::move(terms)}};
   return dump.dump(2);
--- a/src/job_placement.cc
+++ b/src/job_placement.cc
@@ -150,6 +150,10 @@
           .gpus = step.gpus};
 }
 
+ResourceTotal ChargeOf(const StepSpec& step) {
+  return {.cpu_millicores = step.cpu_millicores, .memory_mb = step.memory_mb, .gpus = step.gpus};
+}
+
 bool Fits(const UpstreamCandidate& candidate, const WaitingStep& waiting, const TaskKey& key) {
   const StepSpec& step = waiting.spec();
   const UpstreamSession& session = *candidate.session;
--- a/src/job_placement.h
+++ b/src/job_placement.h
@@ -139,4 +139,8 @@
 /// @returns the capacity that one task of the step reserves.
 Capacity ReservationOf(const StepSpec& step);
 
+/// @returns what one task of the step counts against its account's limit. The platform doesn't say
+/// that leftover capacity doesn't count, so best-effort tasks count in full.
+ResourceTotal ChargeOf(const StepSpec& step);
+
 }  // namespace endivewood
--- a/src/job_scheduler.cc
+++ b/src/job_scheduler.cc
@@ -49,7 +49,9 @@
 }  // namespace
 
 JobScheduler::JobScheduler(const SchedulerOptions& options)
-    : m_options(options), m_highest_fencing_token(options.epoch) {}
+    : m_options(options),
+      m_shares({.partition = options.partition, .epoch = options.epoch}),
+      m_highest_fencing_token(options.epoch) {}
 
 void JobScheduler::Restore(const KeyedRecord& record) {
   if (record.key.starts_with(kMetadataPrefix)) {
@@ -69,6 +71,7 @@
     session.entry.id = upstream->id;
     session.entry.service = upstream->service;
     session.entry.endpoint = upstream->endpoint;
+    session.hosted.CountInto(m_usage);
     session.registered = true;
     session.start_time = upstream->start_time;
     session.follows_incarnation = upstream->follows_incarnation;
@@ -190,9 +193,10 @@
   return m_change;
 }
 
-void JobScheduler::PutMetadata(const std::string& key, const std::string& value) {
+std::uint64_t JobScheduler::PutMetadata(const std::string& key, const std::string& value,
+                                        bool urgent) {
   m_metadata[key] = value;
-  MarkDirty(key, false);
+  return MarkDirty(key, urgent);
 }
 
 void JobScheduler::EncodeItem(const std::string& item, std::vector<KeyedRecord>* records) const {
@@ -298,7 +302,9 @@
   RunSessions(now, rights);
   if (m_inherited_pending) ResolveInheritedTasks(now, rights.confirmed_at);
   ExpireResults(now + m_unix_offset);
+  BeginAccountPass();
   Place(now, unix_offset);
+  EndAccountPass(now);
 }
 
 void JobScheduler::Place(Milliseconds now, Milliseconds unix_offset) {
@@ -320,8 +326,7 @@
         if (waiting_tasks <= 0 || !job->DependenciesDone(occurrence, step)) continue;
         const Milliseconds latest_start =
             job->OnTimeDeadlineOf(occurrence) - occurrence.remaining_path;
-        m_cpu_waiting[job->spec().service] +=
-            WaitingDemand(spec, waiting_tasks, latest_start >= now);
+        AddWaitingDemand(*job, WaitingDemand(spec, waiting_tasks, latest_start >= now));
         waiting.push_back({.job = job.get(),
                            .occurrence = &occurrence,
                            .step = step,
@@ -346,6 +351,7 @@
       PlaceStep(&step, &pool, now);
     }
   }
+  BoundWaiting(pools);
 }
 
 void JobScheduler::PlaceStep(WaitingStep* waiting, CandidatePool* pool, Milliseconds now) {
@@ -366,6 +372,10 @@
                       .occurrence = waiting->occurrence->number,
                       .step = waiting->step,
                       .index = index};
+    if (IsBlockedByShare(*waiting->job)) {
+      NoteWaitingForShare(*waiting);
+      return;
+    }
     if (!PlaceTask(waiting, key, pool, now) && !waiting->spec().lasting) return;
   }
 }
@@ -391,6 +401,7 @@
       return false;
     }
   }
+  if (!HasShareFor(*waiting, 1, now)) return false;
   TaskState& task = waiting->state().tasks[key.index];
   ++task.runs;
   Start(waiting, key.index, m_options.epoch * config::kRunsPerEpoch + task.runs, candidate, now);
@@ -412,6 +423,10 @@
   for (const TaskState& task : state.tasks) {
     if (!MayPlace(*waiting->job, waiting->step, task, now)) return;
   }
+  if (IsBlockedByShare(*waiting->job)) {
+    NoteWaitingForShare(*waiting);
+    return;
+  }
   // With same_rack, the racks are tried one by one. The invalid name, tried last, stands for any
   // rack.
   std::set<RackName> racks{RackName()};
@@ -440,6 +455,7 @@
       chosen.push_back(candidate);
     }
     if (chosen.size() < state.tasks.size()) continue;
+    if (!HasShareFor(*waiting, static_cast<int>(chosen.size()), now)) return;
     ++state.runs;
     const std::uint64_t run = m_options.epoch * config::kRunsPerEpoch + state.runs;
     for (std::size_t index = 0; index < chosen.size(); ++index) {
@@ -480,10 +496,20 @@
                    .best_effort = spec.best_effort,
                    .target_latency = spec.target_latency};
   hosted.progressed_at = now;
+  hosted.account = waiting->job->spec().account;
+  hosted.charged = ChargeOf(spec);
+  if (AccountPass* const pass = FindAccountPass(*waiting->job)) {
+    pass->load.used += hosted.charged;
+    pass->load.running += hosted.charged;
+  }
   session.hosted.Put(key, hosted);
   m_unanswered_bytes += StartBytes(waiting->job->spec().payload);
-  session.unanswered_starts.push_back(
-      {.task = key, .run = run, .reserved = hosted.reserved, .sent_at = now});
+  session.unanswered_starts.push_back({.task = key,
+                                       .run = run,
+                                       .reserved = hosted.reserved,
+                                       .sent_at = now,
+                                       .account = hosted.account,
+                                       .charged = hosted.charged});
   const std::int64_t until = session.clock.LowerBoundAt(now) + m_options.lease.count();
   // A start doesn't extend the lease beyond the last renewal.
   m_orders.emplace_back(StartOrder{.upstream = session.entry.id,
@@ -514,7 +540,9 @@
 
 std::vector<UpstreamOrder> JobScheduler::TakeOrders() { return std::exchange(m_orders, {}); }
 
-Milliseconds JobScheduler::NextDue(Milliseconds now) const { return std::max(now, m_next_due); }
+Milliseconds JobScheduler::NextDue(Milliseconds now) const {
+  return std::max(now, std::min(m_next_due, m_shares.NextDue()));
+}
 
 bool JobScheduler::IsLate(const TaskKey& task, Milliseconds now) const {
   const auto job = m_jobs.find(task.job);
--- a/src/job_scheduler.h
+++ b/src/job_scheduler.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <set>
 
+#include "account_shares.h"
 #include "client_account.h"
 #include "job.h"
 #include "job_admission.h"
@@ -124,7 +125,9 @@
   bool has_urgent_changes() const { return m_urgent; }
 
   /// Stores a metadata record in the partition, beside the jobs.
-  void PutMetadata(const std::string& key, const std::string& value);
+  /// @param urgent whether a caller waits for it.
+  /// @returns the number of the change.
+  std::uint64_t PutMetadata(const std::string& key, const std::string& value, bool urgent = false);
   const std::map<std::string, std::string>& metadata() const { return m_metadata; }
 
   // Upstreams.
@@ -133,6 +136,17 @@
   /// @param accounts no value in a deployment without accounts.
   void SetAccounts(const std::optional<std::vector<ClientAccount>>& accounts);
 
+  // Shares of the accounts' limits (job_scheduler_accounts.cc).
+
+  /// @returns the call to the holder of partition 0 that is due, or no value.
+  std::optional<ShareCall> TakeShareCall(Milliseconds now) { return m_shares.TakeCall(now); }
+  void OnShareReply(const ShareReply& reply, Milliseconds now);
+  /// Call when a share call failed or had no answer.
+  void OnShareCallFailed(std::uint64_t sequence, Milliseconds now);
+  const AccountShares& shares() const { return m_shares; }
+  /// @returns what runs or may run for each account, without tasks that only earlier holders know.
+  std::map<AccountName, ResourceTotal> AccountUse() const;
+
   /// @param entries current registry, restricted to this scheduler's services.
   void SetUpstreams(const std::vector<UpstreamEntry>& entries, Milliseconds now);
   void OnStarted(const StartOrder& order, const OrderReply& reply, Milliseconds now);
@@ -203,6 +217,40 @@
   ServiceLoad MeasureLoad(const ServiceName& service, Milliseconds now) const;
   bool MayPlace(const Job& job, int step, const TaskState& task, Milliseconds now) const;
 
+  // job_scheduler_accounts.cc
+  /// One account's state during a placement pass.
+  struct AccountPass {
+    AccountLoad load;
+    /// A task waits for the share; later ones of the account don't overtake it.
+    bool blocked = false;
+    std::map<ServiceName, ResourceTotal> waiting;
+    std::map<ServiceName, std::int64_t> cpu_demand;  ///< Millicores, as in ServiceDemand.
+  };
+  void BeginAccountPass();
+  /// @param pools what the placement has left.
+  void BoundWaiting(const std::map<ServiceName, CandidatePool>& pools);
+  void EndAccountPass(Milliseconds now);
+  /// @returns the account's state, or nullptr if it has no limit.
+  AccountPass* FindAccountPass(const Job& job);
+  /// Adds to the demand of a service, for an account no more than its limit permits.
+  void AddWaitingDemand(const Job& job, std::int64_t millicores);
+  /// Checks that tasks which have room can start within their account's share, and notes the
+  /// waiting tasks of the step otherwise.
+  /// @param tasks number of tasks that start together.
+  bool HasShareFor(const WaitingStep& waiting, int tasks, Milliseconds now);
+  bool IsBlockedByShare(const Job& job);
+  void NoteWaitingForShare(const WaitingStep& waiting);
+  /// @returns an upper bound of what earlier holders may have started for an account.
+  struct InheritedNeeds {
+    ResourceTotal all;
+    std::int64_t best_effort_cpu = 0;  ///< Part that the upstreams' cores don't bound.
+  };
+  ResourceTotal UnresolvedOf(const AccountName& account, const InheritedNeeds& inherited) const;
+  /// @returns what the stored jobs' tasks need that an earlier holder may have started.
+  std::map<AccountName, InheritedNeeds> FindInheritedNeeds() const;
+  /// Adds what earlier holders may have started.
+  void AddUnresolved(std::map<AccountName, ResourceTotal>* use) const;
+
   // job_scheduler_upstreams.cc
   UpstreamSession* FindSession(const UpstreamId& id);
   void ApplyEntry(UpstreamSession* session, const UpstreamEntry& entry, Milliseconds now);
@@ -288,6 +336,10 @@
 
   SchedulerOptions m_options;
   std::map<AccountName, ClientAccount> m_accounts;  ///< Empty in a deployment without accounts.
+  AccountShares m_shares;
+  std::shared_ptr<AccountUsage> m_usage = std::make_shared<AccountUsage>();
+  std::map<AccountName, AccountPass> m_account_passes;  ///< Accounts with limits.
+  std::map<AccountName, Milliseconds> m_limit_reports;  ///< When a waiting task was last logged.
   std::map<JobId, std::unique_ptr<Job>> m_jobs;
   std::map<JobId, Ended> m_results;
   Milliseconds m_results_expire_at{0};  ///< Unix time of the next search for expired results.
--- a/src/job_scheduler_admission.cc
+++ b/src/job_scheduler_admission.cc
@@ -9,6 +9,9 @@
 namespace endivewood {
 
 void JobScheduler::SetAccounts(const std::optional<std::vector<ClientAccount>>& accounts) {
+  std::map<AccountName, ResourceTotal> use = AccountUse();
+  AddUnresolved(&use);
+  m_shares.SetAccounts(accounts, use);
   m_accounts.clear();
   if (!accounts) return;
   for (const ClientAccount& account : *accounts) m_accounts.emplace(account.name, account);
--- a/src/job_scheduler_incarnations.cc
+++ b/src/job_scheduler_incarnations.cc
@@ -110,8 +110,11 @@
     const auto known = session->hosted.find(start.task);
     // A stop also rejects earlier runs of the task.
     if (known != session->hosted.end() && known->second.run >= start.run) continue;
-    HostedRun& run = session->hosted.Put(
-        start.task, {.run = start.run, .reserved = start.reserved, .ordered_at = start.sent_at});
+    HostedRun& run = session->hosted.Put(start.task, {.run = start.run,
+                                                      .reserved = start.reserved,
+                                                      .ordered_at = start.sent_at,
+                                                      .account = start.account,
+                                                      .charged = start.charged});
     Stop(session, start.task, &run, now);
   }
 }
--- a/src/job_scheduler_run_lists.cc
+++ b/src/job_scheduler_run_lists.cc
@@ -53,6 +53,7 @@
   const bool known = hosted != session->hosted.end() && hosted->second.run == row.run;
   const Milliseconds ran = known ? now - hosted->second.ordered_at : Milliseconds{0};
   if (known) session->hosted.erase(hosted);
+  session->SettleStarts(row.task, row.run);
   const auto found = m_jobs.find(row.task.job);
   TaskState* task = found == m_jobs.end() ? nullptr : found->second->Find(row.task);
   const bool current =
@@ -164,6 +165,7 @@
   for (const RunningRow& row : rows) {
     const auto found = session->hosted.find(row.task);
     listed.insert(row.task);
+    session->SettleStarts(row.task, row.run);
     if (found != session->hosted.end() && found->second.run > row.run) {
       StopEarlierRun(session, row, &found->second, now);
       continue;
@@ -212,6 +214,8 @@
     hosted.lasting = spec.lasting;
     hosted.best_effort = spec.best_effort;
     hosted.target_latency = spec.target_latency;
+    hosted.account = found->second->spec().account;
+    hosted.charged = ChargeOf(spec);
   } else {
     // The job is unknown, and so are the run's requirements: reserve the whole upstream until the
     // run has been stopped. The registry may describe its capacity only later.
--- a/src/job_scheduler_upstreams.cc
+++ b/src/job_scheduler_upstreams.cc
@@ -39,6 +39,7 @@
     listed.insert(entry.id);
     const auto [position, added] = m_sessions.try_emplace(entry.id);
     UpstreamSession& session = position->second;
+    if (added) session.hosted.CountInto(m_usage);
     const auto hold = m_release_holds.find(entry.id);
     if (added && hold != m_release_holds.end()) session.released_until = hold->second;
     if (added) {
@@ -72,7 +73,8 @@
   for (auto it = m_sessions.begin(); it != m_sessions.end();) {
     UpstreamSession& session = it->second;
     session.listed = listed.count(it->first) > 0;
-    const bool idle = session.hosted.empty() && !session.renew_in_flight;
+    const bool idle = session.hosted.empty() && !session.renew_in_flight &&
+                      !session.HasUnsettledStart();
     const bool lists_complete = session.hosted_complete && !session.more_ended;
     const bool no_unknown_runs = lists_complete || session.LatestLeaseEnd() <= now;
     if (session.listed || !idle || !no_unknown_runs) {
@@ -227,6 +229,7 @@
   const auto found = session->hosted.find(order.task);
   if (found == session->hosted.end() || found->second.run != order.run) return;
   if (reply.outcome == OrderOutcome::kDone) {
+    session->SettleStarts(order.task, order.run);
     found->second.stop_confirmed_at = now;
     ScheduleRenew(session, now);
     return;
--- a/src/node_calls.h
+++ b/src/node_calls.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <variant>
 
+#include "account_share_call.h"
 #include "caller_credential.h"
 #include "job_scheduler.h"
 #include "order_carrier.h"
@@ -68,7 +69,7 @@
 };
 
 using NodeCall = std::variant<SubmitCall, StatusCall, CancelCall, PendingCall, DemandCall,
-                              ReleaseCall, OwnersCall, HandoverCall>;
+                              ReleaseCall, OwnersCall, HandoverCall, ShareCall>;
 
 /// @returns the service whose partition's holder has to answer.
 const ServiceName& ServiceOf(const NodeCall& call);
@@ -114,6 +115,7 @@
   std::vector<KnownOwner> owners;
   std::uint64_t generation = 0;            ///< The group's generation when `owners` was read.
   std::vector<RecentOrder> recent_orders;  ///< Answer to a HandoverCall.
+  ShareReply shares;                       ///< Answer to a ShareCall.
 };
 
 /// One frame between two instances. On the wire: a 4-byte big-endian length, then msgpack.
--- a/src/upstream_session.cc
+++ b/src/upstream_session.cc
@@ -32,11 +32,23 @@
   return m_received + Milliseconds(static_cast<std::int64_t>(left) + 1);
 }
 
+void AccountUsage::Count(const AccountName& account, const ResourceTotal& amount, int sign) {
+  if (!account.valid()) return;
+  ResourceTotal& total = m_totals[account];
+  if (sign > 0) {
+    total += amount;
+  } else {
+    total -= amount;
+  }
+  if (total == ResourceTotal{}) m_totals.erase(account);
+}
+
 void HostedRuns::Count(const HostedRun& run, int sign) {
   m_used = sign > 0 ? m_used + run.reserved : m_used - run.reserved;
   if (run.target_latency > Milliseconds{0}) m_latency_sensitive += sign;
   if (run.best_effort) m_best_effort += sign;
   if (!run.needs_known) m_needs_unknown += sign;
+  if (m_usage) m_usage->Count(run.account, run.charged, sign);
 }
 
 HostedRun& HostedRuns::Put(const TaskKey& task, const HostedRun& run) {
@@ -52,6 +64,18 @@
   return m_runs.erase(position);
 }
 
+void UpstreamSession::SettleStarts(const TaskKey& task, std::uint64_t run) {
+  for (UnansweredStart& start : unanswered_starts) {
+    if (start.task == task && start.run <= run) start.settled = true;
+  }
+}
+
+bool UpstreamSession::HasUnsettledStart() const {
+  return std::any_of(
+      unanswered_starts.begin(), unanswered_starts.end(),
+      [](const UnansweredStart& start) { return !start.settled && start.account.valid(); });
+}
+
 Capacity UpstreamSession::Free() const {
   Capacity free = entry.capacity - hosted.used();
   for (const auto& [task, capacity] : held) free = free - capacity;
--- a/src/upstream_session.h
+++ b/src/upstream_session.h
@@ -5,8 +5,10 @@
 
 #include <deque>
 #include <map>
+#include <memory>
 #include <set>
 
+#include "client_account.h"
 #include "jobs.h"
 
 namespace endivewood {
@@ -19,6 +21,17 @@
   kStopping,
 };
 
+/// What runs, or may run, for each account on the upstreams of one scheduler.
+class AccountUsage {
+ public:
+  /// @param sign 1 to add, -1 to subtract. An invalid account has no sum.
+  void Count(const AccountName& account, const ResourceTotal& amount, int sign);
+  const std::map<AccountName, ResourceTotal>& totals() const { return m_totals; }
+
+ private:
+  std::map<AccountName, ResourceTotal> m_totals;
+};
+
 /// A run that uses, or may use, capacity of an upstream.
 struct HostedRun {
   std::uint64_t run = 0;
@@ -41,6 +54,8 @@
   int pace = 100;  ///< Percent of full speed.
   Milliseconds paced_at{0};
   Milliseconds over_target_since{0};  ///< 0: below the target.
+  AccountName account;                ///< Of the job; invalid if it has none or isn't known.
+  ResourceTotal charged;              ///< What counts against the account's limit.
 };
 
 /// The runs of one upstream by task, with the sums that each placement needs.
@@ -64,6 +79,9 @@
   HostedRun& Put(const TaskKey& task, const HostedRun& run);
   Map::iterator erase(Map::iterator position);
 
+  /// Adds the runs to the sums of their accounts from now on. Call while there are no runs.
+  void CountInto(std::shared_ptr<AccountUsage> usage) { m_usage = std::move(usage); }
+
   const Capacity& used() const { return m_used; }
   bool any_latency_sensitive() const { return m_latency_sensitive > 0; }
   bool any_best_effort() const { return m_best_effort > 0; }
@@ -77,6 +95,7 @@
   int m_latency_sensitive = 0;
   int m_best_effort = 0;
   int m_needs_unknown = 0;
+  std::shared_ptr<AccountUsage> m_usage;
 };
 
 /// @returns the time in which a lease ends, whatever the error of the upstream's clock.
@@ -172,6 +191,10 @@
     std::uint64_t run = 0;
     Capacity reserved;
     Milliseconds sent_at{0};
+    AccountName account;    ///< As in HostedRun.
+    ResourceTotal charged;  ///< As in HostedRun.
+    /// The incarnation has shown that the start was executed, or that it won't be.
+    bool settled = false;
   };
   std::vector<UnansweredStart> unanswered_starts;
 
@@ -193,6 +216,12 @@
   Milliseconds reported_released_until{0};
   Milliseconds drain_deadline{0};  ///< While draining: earliest time at which it stops.
 
+  /// Call when this incarnation has shown that starts of a task up to the run were executed, or
+  /// that they won't be any more. They count for their account only as hosted runs from then on.
+  void SettleStarts(const TaskKey& task, std::uint64_t run);
+  /// @returns whether a start for an account may still be executed without being a hosted run.
+  bool HasUnsettledStart() const;
+
   /// @returns the capacity that is neither used nor held; negative where it is overcommitted.
   Capacity Free() const;
   /// @returns whether it is draining or doesn't answer. One order without an answer isn't enough.
--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -274,6 +274,7 @@
     std::uint64_t epoch = 1;
     unsigned seed = 1;
     ServiceName service = test_service;
+    int partition = 1;
     Milliseconds registry_interval{500};  ///< Time between two reads of the registry.
     bool run_for_estimate = false;        ///< Tasks take their estimate, not `task_duration`.
     bool run_when_due = false;  ///< The holder runs only when it is due, instead of at each step.
@@ -321,7 +322,8 @@
     holder_paused_until = Milliseconds{0};
     old_epoch = epoch;
     if (old_holder) epoch += config::kTermsPerGeneration;
-    holder = std::make_unique<JobScheduler>(SchedulerOptions{.partition = 1, .epoch = epoch});
+    holder = std::make_unique<JobScheduler>(
+        SchedulerOptions{.partition = m_options.partition, .epoch = epoch});
     for (const auto& [key, value] : store) holder->Restore({.key = key, .value = value});
     holder->FinishRestore(now, unix_offset, now + inherited);
     for (const PendingRenew& pending : m_pending_renews) {
