--- a/src/account_ledger.cc
+++ b/src/account_ledger.cc
@@ -89,6 +89,22 @@
   return answer;
 }
 
+void AccountLedger::Report(Partition* partition, const GrantedShare& granted,
+                           const ResourceTotal& before, Milliseconds now) {
+  const Milliseconds interval(config::kLimitReportMs);
+  const auto [reported, first] = partition->reported.try_emplace(granted.account, now);
+  if (!first && now - reported->second < interval) return;
+  reported->second = now;
+  LogEvent(Event::kShareGranted, {{"account", granted.account},
+                                  {"epoch", partition->epoch},
+                                  {"sequence", partition->sequence},
+                                  {"share_millicores", granted.share.cpu_millicores},
+                                  {"was_millicores", before.cpu_millicores},
+                                  {"share_mb", granted.share.memory_mb},
+                                  {"contended", granted.contended},
+                                  {"over", granted.over}});
+}
+
 ResourceTotal AccountLedger::LimitFor(const ShareRequest& request) const {
   const auto limit = m_limits.find(request.account);
   return limit == m_limits.end() ? request.limit : LowerLimit(limit->second, request.limit);
@@ -119,13 +135,7 @@
   granted.share = share;
   if (share != before) {
     partition->changed = true;
-    LogEvent(Event::kShareGranted, {{"account", request.account},
-                                    {"epoch", partition->epoch},
-                                    {"share_millicores", share.cpu_millicores},
-                                    {"was_millicores", before.cpu_millicores},
-                                    {"share_mb", share.memory_mb},
-                                    {"contended", granted.contended},
-                                    {"unmet", want.unmet}});
+    Report(partition, granted, before, now);
   }
   if (share == ResourceTotal{}) {
     partition->shares.erase(request.account);
--- a/src/account_ledger.h
+++ b/src/account_ledger.h
@@ -53,10 +53,13 @@
     std::uint64_t sequence = 0;
     std::map<AccountName, ResourceTotal> shares;
     std::map<AccountName, Want> wants;
+    std::map<AccountName, Milliseconds> reported;  ///< When a change was last logged.
     bool changed = false;
   };
 
   void Restore(const std::string& key, const std::string& value);
+  static void Report(Partition* partition, const GrantedShare& granted, const ResourceTotal& before,
+                     Milliseconds now);
   GrantedShare Grant(Partition* partition, const ShareRequest& request, Milliseconds now);
   /// @returns the limit by the configurations of this instance and of the caller.
   ResourceTotal LimitFor(const ShareRequest& request) const;
--- a/src/account_shares.cc
+++ b/src/account_shares.cc
@@ -49,11 +49,11 @@
       if (limit == 0) state.share.*resource = 0;
       if (fell) state.share.*resource = std::min(state.share.*resource, in_use.*resource);
     });
-    const bool appeared = state.known && !IsWithin(LimitedPart(in_use, account.limit), state.share);
+    // A limit that is new counts as lowered.
     const bool fell = LowerLimit(account.limit, state.limit) != state.limit;
     // An answer to a call that was sent before doesn't count.
-    state.lowered = state.lowered || appeared || fell;
-    state.frozen = state.frozen || appeared || fell;
+    state.lowered = state.lowered || fell;
+    state.frozen = state.frozen || fell;
     if (state.share != before) {
       LogEvent(Event::kLimitLowered, {{"account", account.name},
                                       {"partition", m_options.partition},
@@ -140,7 +140,7 @@
   if (state.frozen) return Milliseconds(config::kShareRetryMs);
   if (IsBlocked(state)) return m_raised ? shortest : Milliseconds(config::kShareRetryMs);
   const ResourceTotal keep = KeepOf(state);
-  if (m_answered && keep != state.share &&
+  if (m_failures == 0 && keep != state.share &&
       (state.contended || IsWorthReturning(state.share, keep))) {
     return shortest;
   }
@@ -157,7 +157,15 @@
   for (const auto& [account, state] : m_accounts) {
     interval = std::min(interval, IntervalOf(state));
   }
-  m_due = interval == Milliseconds::max() ? interval : m_sent_at + interval;
+  if (interval == Milliseconds::max()) {
+    m_due = interval;
+    return;
+  }
+  if (m_failures > 0) {
+    const int doublings = std::min(m_failures, config::kMaxShareRetryDoublings + 1) - 1;
+    interval = std::max(interval, Milliseconds(config::kShareRetryMs << doublings));
+  }
+  m_due = m_sent_at + interval;
 }
 
 Milliseconds AccountShares::NextDue() const { return m_in_flight ? Milliseconds::max() : m_due; }
@@ -182,7 +190,8 @@
     if (state.known) {
       const ResourceTotal keep = KeepOf(state);
       // A part that is given back by a lost call helps nobody and can't be had again.
-      const bool heard = m_answered && (state.contended || IsWorthReturning(state.share, keep));
+      const bool heard =
+          m_failures == 0 && (state.contended || IsWorthReturning(state.share, keep));
       if (heard || state.frozen) state.share = keep;
       request.keep = state.share;
     }
@@ -200,7 +209,7 @@
   // Parts may have been returned since an older call was sent.
   if (!m_in_flight || reply.sequence != m_sequence) return false;
   m_in_flight = false;
-  m_answered = true;
+  m_failures = 0;
   m_raised = false;
   for (const GrantedShare& granted : reply.shares) {
     const auto found = m_accounts.find(granted.account);
@@ -225,7 +234,7 @@
 void AccountShares::OnFailed(std::uint64_t sequence, Milliseconds now) {
   if (!m_in_flight || sequence != m_sequence) return;
   m_in_flight = false;
-  m_answered = false;
+  ++m_failures;
   m_raised = false;
   m_sent_at = now;
   ScheduleCall();
--- a/src/account_shares.h
+++ b/src/account_shares.h
@@ -96,7 +96,7 @@
   std::uint64_t m_sequence = 0;
   bool m_in_flight = false;
   bool m_raised = true;  ///< The last answer raised a share, or there was none yet.
-  bool m_answered = true;  ///< The last call was answered.
+  int m_failures = 0;    ///< Calls without an answer since the last one that had one.
   Milliseconds m_sent_at{-1000};
   Milliseconds m_due = Milliseconds::max();
   Milliseconds m_peaks_since{0};
--- a/src/config_accounts.h
+++ b/src/config_accounts.h
@@ -13,6 +13,10 @@
 /// The same after an answer that raised nothing: no part was free, and calls are charged for.
 inline constexpr std::int64_t kShareRetryMs = 100;
 
+/// Limit of the doublings of kShareRetryMs after failed calls. An instance of an earlier build
+/// closes the connection at each share call, which disturbs other calls.
+inline constexpr int kMaxShareRetryDoublings = 3;
+
 /// Milliseconds until a holder with an unused share calls again, to learn whether others wait for
 /// it. Peaks last about 4 s; an unused part has to help another service within about 300 ms, of
 /// which the two further calls take about 100.
@@ -37,7 +41,8 @@
 /// since. Holders that want something call every kShareRefreshMs or more often.
 inline constexpr std::int64_t kShareWantLifetimeMs = 2500;
 
-/// Minimum milliseconds between two log lines about tasks of one account that wait for its limit.
+/// Minimum milliseconds between two log lines about one account: on tasks that wait for its limit,
+/// and on changes of one partition's share.
 inline constexpr std::int64_t kLimitReportMs = 1000;
 
 }  // namespace endivewood::config
