Refuse and order work by what it costs callers when room is short

Cause: admission had one bound on the queue's wait for all jobs. It saw neither priority, account nor size, so an account at several times its usual took the room of the others.

Change: AccountRates marks jobs beyond an account's rate as surplus; AccountUsage finds accounts that got more than their share. Both come last in the order while other work is at risk. The policy caller-cost predicts a job's end behind the work that comes before it, and refuses it if it can't be on time or makes jobs late that cost more. Sizes that are accepted too seldom are preferred.

--- a/daemons/endivewood_node.cc
+++ b/daemons/endivewood_node.cc
@@ -24,9 +24,11 @@
 /// Runs a node until a stop signal.
 class NodeProcess {
  public:
-  NodeProcess(const platform::PlatformSettings& settings, std::string file, int operators_port)
+  NodeProcess(const platform::PlatformSettings& settings, std::string file, int operators_port,
+              OverloadChoice overload)
       : m_file(std::move(file)),
         m_operators_port(operators_port),
+        m_overload(overload),
         m_settings(settings),
         m_link_meter(settings.link_mbps),
         m_log({.process = settings.node, .data_centre = settings.data_centre}, &m_clock) {
@@ -38,7 +40,9 @@
                                       {"callers", m_settings.callers},
                                       {"peers_port", m_settings.first_port}});
     m_adapter.emplace(&m_loop, &m_clock, m_settings);
-    m_node.emplace(&m_loop, &m_clock, platform::NodeOptionsOf(m_settings), m_adapter->Callbacks());
+    JobNodeOptions options = platform::NodeOptionsOf(m_settings);
+    options.overload = m_overload;
+    m_node.emplace(&m_loop, &m_clock, std::move(options), m_adapter->Callbacks());
     m_entry.emplace(&m_loop, m_settings, &*m_node);
     m_node->Start();
     ListenForOperators();
@@ -123,6 +127,7 @@
 
   std::string m_file;
   int m_operators_port;
+  OverloadChoice m_overload;
   platform::PlatformSettings m_settings;
   Clock m_clock;
   LinkMeter m_link_meter;
@@ -137,6 +142,12 @@
   Milliseconds m_stop_began{0};
 };
 
+OverloadChoice OverloadChoiceOf(const std::string& name) {
+  if (name == "queue-bound") return OverloadChoice::kQueueBound;
+  if (name == "caller-cost") return OverloadChoice::kCallerCost;
+  return OverloadChoice::kByConfiguration;
+}
+
 int Main(int argc, char** argv) {
   const char* const default_file = std::getenv(kSettingsVariable);
   TCLAP::CmdLine command("Instance of endivewood on the users' platform", ' ', kVersion);
@@ -144,6 +155,13 @@
                                       default_file == nullptr ? "" : default_file, "FILE", command);
   TCLAP::ValueArg<int> operators("", "operators-port", "port for /metrics and /dump; 0: none",
                                  false, 0, "PORT", command);
+  std::vector<std::string> policies{"by-configuration", "queue-bound", "caller-cost"};
+  TCLAP::ValuesConstraint<std::string> policy_names(policies);
+  TCLAP::ValueArg<std::string> overload(
+      "", "overload-policy",
+      "which jobs are refused when there is too little room; by-configuration: caller-cost where "
+      "the configuration has accounts, otherwise queue-bound",
+      false, policies.front(), &policy_names, command);
   TCLAP::SwitchArg check("", "check-config", "check the settings and exit", command);
   command.parse(argc, argv);
   std::vector<ConfigError> errors;
@@ -152,7 +170,9 @@
   if (!settings) return kExitInvalidSettings;
   if (check.getValue()) return 0;
   std::signal(SIGPIPE, SIG_IGN);
-  NodeProcess(*settings, config.getValue(), operators.getValue()).Run();
+  NodeProcess(*settings, config.getValue(), operators.getValue(),
+              OverloadChoiceOf(overload.getValue()))
+      .Run();
   return 0;
 }
 
--- a/src/events.cc
+++ b/src/events.cc
@@ -95,6 +95,7 @@
       {Event::kMoveHeld, "move-held", EventLevel::kInfo},
       {Event::kRoomHeld, "room-held", EventLevel::kInfo},
       {Event::kTokensExhausted, "tokens-exhausted", EventLevel::kWarning},
+      {Event::kAccountSurplus, "account-surplus", EventLevel::kInfo},
       {Event::kPartitionClaimed, "partition-claimed", EventLevel::kInfo},
       {Event::kPartitionLoaded, "partition-loaded", EventLevel::kInfo},
       {Event::kPartitionLost, "partition-lost", EventLevel::kWarning},
--- a/src/events.h
+++ b/src/events.h
@@ -115,6 +115,7 @@
   kMoveHeld = 721,
   kRoomHeld = 722,
   kTokensExhausted = 723,
+  kAccountSurplus = 740,
   // Partitions of the job store, and the calls of callers.
   kPartitionClaimed = 800,
   kPartitionLoaded = 801,
--- a/src/job.h
+++ b/src/job.h
@@ -158,6 +158,9 @@
   std::uint64_t accepted_at_change = 0;  ///< Change number of the acceptance.
   std::uint64_t ended_at_change = 0;     ///< Change number of the final state.
   Milliseconds ended_unix{0};
+  // Not stored: a new holder judges accepted jobs alike.
+  bool surplus = false;    ///< Sent beyond the rate of its account, see AccountRates.
+  bool preferred = false;  ///< Of a size that was served too seldom, see SizeClasses.
 
   JobProgress Progress() const;
   void Apply(const JobProgress& progress);
--- a/src/job_node.cc
+++ b/src/job_node.cc
@@ -335,7 +335,8 @@
         .drain_notice = m_options.drain_notice,
         .max_unanswered_bytes = StartWindowBytes(m_options.capacity),
         .member = m_membership.options().member,
-        .min_holder_gap = m_options.min_holder_gap};
+        .min_holder_gap = m_options.min_holder_gap,
+        .overload = m_options.overload};
     if (m_terms.empty()) m_registry.Restart();
     m_terms.emplace(partition, std::make_shared<PartitionTerm>(options, now));
   }
--- a/src/job_node.h
+++ b/src/job_node.h
@@ -66,6 +66,7 @@
   Milliseconds min_holder_gap{3000};  ///< Minimum time between two holders' orders to one instance.
   MaintenancePlannerOptions planner;
   PlatformNames names;
+  OverloadChoice overload = OverloadChoice::kByConfiguration;  ///< See SchedulerOptions.
 };
 
 class JobNode {
--- a/src/job_placement.cc
+++ b/src/job_placement.cc
@@ -24,12 +24,6 @@
   return count;
 }
 
-/// Latest start plus a delay for the remaining work: when a peak exceeds the capacity, small jobs
-/// bring more results per core-second.
-Milliseconds WeightedLatestStart(const WaitingStep& step) {
-  return step.latest_start + Milliseconds(step.work_left / config::kWorkPerRankMs);
-}
-
 /// Placement cost by decreasing weight; the smallest tuple wins.
 using PlacementCost = std::tuple<int, int, int, std::int64_t>;
 
@@ -93,17 +87,26 @@
   return std::find(entry.labels.begin(), entry.labels.end(), label) != entry.labels.end();
 }
 
+JobRank RankOf(const Job& job, Milliseconds latest_start, bool on_time, std::int64_t work_left,
+               const AccountStanding& standing) {
+  JobRank rank{.late = !on_time, .priority = job.policy().priority, .standing = standing};
+  if (!on_time) {
+    rank.order = work_left;
+    rank.late_order = latest_start.count();
+    return rank;
+  }
+  // When a peak exceeds the capacity, small jobs bring more results per core-second.
+  const std::int64_t delay = job.preferred ? 0 : work_left / config::kWorkPerRankMs;
+  rank.order = latest_start.count() + delay;
+  return rank;
+}
+
 bool ComesBefore(const WaitingStep& a, const WaitingStep& b) {
   const bool a_lasting = a.spec().lasting;
   const bool b_lasting = b.spec().lasting;
   if (a_lasting != b_lasting) return a_lasting;
-  if (a.on_time != b.on_time) return a.on_time;
-  const int a_priority = a.job->policy().priority;
-  const int b_priority = b.job->policy().priority;
-  if (a_priority != b_priority) return a_priority < b_priority;
-  if (a.on_time) return WeightedLatestStart(a) < WeightedLatestStart(b);
-  if (a.work_left != b.work_left) return a.work_left < b.work_left;
-  return a.latest_start < b.latest_start;
+  return RankOf(*a.job, a.latest_start, a.on_time, a.work_left, a.standing) <
+         RankOf(*b.job, b.latest_start, b.on_time, b.work_left, b.standing);
 }
 
 bool IsUsable(const UpstreamSession& session, Milliseconds now) {
--- a/src/job_placement.h
+++ b/src/job_placement.h
@@ -9,6 +9,14 @@
 
 namespace endivewood {
 
+/// Whether work comes after that of other accounts.
+struct AccountStanding {
+  bool surplus = false;      ///< See Job::surplus.
+  bool above_share = false;  ///< The account got more than its share lately, see AccountUsage.
+
+  auto operator<=>(const AccountStanding&) const = default;
+};
+
 /// A step that has tasks to start and whose dependencies are done.
 struct WaitingStep {
   Job* job = nullptr;
@@ -17,6 +25,7 @@
   Milliseconds latest_start{0};  ///< Latest start with which the occurrence can be on time.
   bool on_time = false;          ///< The latest start hasn't passed.
   std::int64_t work_left = 0;    ///< Remaining work of the job, core-milliseconds.
+  AccountStanding standing;      ///< Set only while there is too little room, see IsContended.
 
   const StepSpec& spec() const { return job->spec().steps[step]; }
   StepState& state() const { return occurrence->steps[step]; }
@@ -51,10 +60,28 @@
 
 bool HasLabel(const UpstreamEntry& entry, const std::string& label);
 
+/// Rank of short work in the scheduling order; the lowest rank comes first.
+struct JobRank {
+  bool late = false;  ///< It can't be on time.
+  int priority = 0;
+  AccountStanding standing;
+  std::int64_t order = 0;
+  std::int64_t late_order = 0;
+
+  auto operator<=>(const JobRank&) const = default;
+};
+
+/// @param latest_start latest start with which the work can be on time.
+/// @param work_left remaining work of the job, core-milliseconds.
+JobRank RankOf(const Job& job, Milliseconds latest_start, bool on_time, std::int64_t work_left,
+               const AccountStanding& standing);
+
 /// Orders waiting steps. Lasting steps come first: they hold capacity for minutes, and users
 /// notice their absence at once. Steps that can be on time come before late ones, whose results
-/// have little value whenever they end. Both groups are sorted by priority; then the first by
-/// latest start, weighted by remaining work, and the second by remaining work, smallest first.
+/// have little value whenever they end. Both groups are sorted by priority; then work within its
+/// account's rate comes first, and accounts that aren't above their fair share; then the first
+/// group is sorted by latest start, weighted by remaining work, and the second by remaining work,
+/// smallest first.
 bool ComesBefore(const WaitingStep& a, const WaitingStep& b);
 
 /// @returns whether tasks may be placed on an upstream.
--- a/src/job_scheduler.cc
+++ b/src/job_scheduler.cc
@@ -49,7 +49,7 @@
 }  // namespace
 
 JobScheduler::JobScheduler(const SchedulerOptions& options)
-    : m_options(options), m_highest_fencing_token(options.epoch) {}
+    : m_options(options), m_highest_fencing_token(options.epoch), m_overload(options.overload) {}
 
 void JobScheduler::Restore(const KeyedRecord& record) {
   if (record.key.starts_with(kMetadataPrefix)) {
@@ -336,6 +336,7 @@
     m_next_due = std::min(m_next_due, now + Milliseconds(config::kRenewSpacingMs));
     return;
   }
+  RankAccounts(&waiting, now);
   std::sort(waiting.begin(), waiting.end(), ComesBefore);
   std::map<ServiceName, CandidatePool> pools = FindPools(&m_sessions, now);
   for (WaitingStep& step : waiting) {
@@ -482,6 +483,11 @@
   hosted.progressed_at = now;
   session.hosted.Put(key, hosted);
   m_unanswered_bytes += StartBytes(waiting->job->spec().payload);
+  if (!spec.lasting) {
+    m_overload.NotePlaced(
+        *waiting->job,
+        static_cast<std::int64_t>(spec.cpu_millicores) * spec.estimate.count() / 1000, now);
+  }
   session.unanswered_starts.push_back(
       {.task = key, .run = run, .reserved = hosted.reserved, .sent_at = now});
   const std::int64_t until = session.clock.LowerBoundAt(now) + m_options.lease.count();
--- a/src/job_scheduler.h
+++ b/src/job_scheduler.h
@@ -12,6 +12,7 @@
 #include "job_admission.h"
 #include "job_placement.h"
 #include "offered_load.h"
+#include "overload_control.h"
 #include "upstream_session.h"
 
 namespace endivewood {
@@ -24,6 +25,7 @@
   Milliseconds drain_notice{2000};  ///< Minimum time that a draining upstream continues.
   /// Maximum bytes of start orders without an answer; 0: no limit.
   std::int64_t max_unanswered_bytes = 0;
+  OverloadChoice overload = OverloadChoice::kByConfiguration;
 };
 
 /// Actions that a partition holder may take, depending on how recently its ownership was confirmed.
@@ -132,6 +134,8 @@
   /// Call with each new version of the configuration.
   /// @param accounts no value in a deployment without accounts.
   void SetAccounts(const std::optional<std::vector<ClientAccount>>& accounts);
+  /// Tells admission what accounts may run, see AccountRoom. Without a call there are no limits.
+  void SetAccountRoom(AccountRoom room) { m_overload.SetAccountRoom(std::move(room)); }
 
   /// @param entries current registry, restricted to this scheduler's services.
   void SetUpstreams(const std::vector<UpstreamEntry>& entries, Milliseconds now);
@@ -201,6 +205,14 @@
   /// @returns the load, which may be up to kLoadAgeMs old except for jobs accepted since.
   ServiceLoad& LoadOf(const ServiceName& service, Milliseconds now);
   ServiceLoad MeasureLoad(const ServiceName& service, Milliseconds now) const;
+  // job_scheduler_admission.cc
+  /// Measures what admission by the callers' costs needs in addition.
+  void MeasureOrder(const ServiceName& service, Milliseconds now, ServiceLoad* load) const;
+  /// Measures the running tasks. @returns for how long the latest tasks of each job have run.
+  std::map<JobId, Milliseconds> MeasureRunning(const ServiceName& service, Milliseconds now,
+                                               ServiceLoad* load) const;
+  /// Sets the standing of waiting steps whose service has too little room.
+  void RankAccounts(std::vector<WaitingStep>* waiting, Milliseconds now);
   bool MayPlace(const Job& job, int step, const TaskState& task, Milliseconds now) const;
 
   // job_scheduler_upstreams.cc
@@ -323,6 +335,7 @@
     Milliseconds at{0};
   };
   std::map<ServiceName, MeasuredLoad> m_loads;
+  OverloadControl m_overload;
   std::map<ServiceName, std::int64_t> m_cpu_waiting;  ///< See ServiceDemand.
   std::int64_t m_unanswered_bytes = 0;  ///< See SchedulerOptions::max_unanswered_bytes.
   bool m_start_window_full = false;     ///< The last placement left tasks for later.
--- a/src/partition_term.cc
+++ b/src/partition_term.cc
@@ -24,7 +24,8 @@
                            .lease = options.lease,
                            .max_lease = options.max_lease,
                            .drain_notice = options.drain_notice,
-                           .max_unanswered_bytes = options.max_unanswered_bytes})),
+                           .max_unanswered_bytes = options.max_unanswered_bytes,
+                           .overload = options.overload})),
       m_started(now),
       m_sequence(options.epoch * config::kAppendsPerEpoch) {}
 
--- a/src/partition_term.h
+++ b/src/partition_term.h
@@ -22,6 +22,7 @@
   std::int64_t max_unanswered_bytes = 0;  ///< See SchedulerOptions.
   std::string member;           ///< This process's name in the group; unique per process start.
   Milliseconds min_holder_gap;  ///< Minimum time between two holders' orders to one instance.
+  OverloadChoice overload = OverloadChoice::kByConfiguration;  ///< See SchedulerOptions.
 };
 
 /// Does no I/O: replies and the time are passed in, calls to make are returned.
--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -280,6 +280,7 @@
     /// Orders and answers take random times up to this, each on its own: they overtake each other
     /// and reach whichever incarnation is up then.
     std::optional<Milliseconds> max_transit = std::nullopt;
+    OverloadChoice overload = OverloadChoice::kByConfiguration;
   };
 
   explicit SchedulerSimulation(const Options& options)
@@ -321,7 +322,8 @@
     holder_paused_until = Milliseconds{0};
     old_epoch = epoch;
     if (old_holder) epoch += config::kTermsPerGeneration;
-    holder = std::make_unique<JobScheduler>(SchedulerOptions{.partition = 1, .epoch = epoch});
+    holder = std::make_unique<JobScheduler>(
+        SchedulerOptions{.partition = 1, .epoch = epoch, .overload = m_options.overload});
     for (const auto& [key, value] : store) holder->Restore({.key = key, .value = value});
     holder->FinishRestore(now, unix_offset, now + inherited);
     for (const PendingRenew& pending : m_pending_renews) {
