--- a/src/events.cc
+++ b/src/events.cc
@@ -97,6 +97,7 @@
       {Event::kTokensExhausted, "tokens-exhausted", EventLevel::kWarning},
       {Event::kTaskWaitsForLimit, "task-waits-for-limit", EventLevel::kInfo},
       {Event::kLimitLowered, "limit-lowered", EventLevel::kInfo},
+      {Event::kAccountSurplus, "account-surplus", EventLevel::kInfo},
       {Event::kPartitionClaimed, "partition-claimed", EventLevel::kInfo},
       {Event::kPartitionLoaded, "partition-loaded", EventLevel::kInfo},
       {Event::kPartitionLost, "partition-lost", EventLevel::kWarning},
--- a/src/events.h
+++ b/src/events.h
@@ -117,6 +117,7 @@
   kTokensExhausted = 723,
   kTaskWaitsForLimit = 730,
   kLimitLowered = 731,
+  kAccountSurplus = 740,
   // Partitions of the job store, and the calls of callers.
   kPartitionClaimed = 800,
   kPartitionLoaded = 801,
--- a/src/job_scheduler.cc
+++ b/src/job_scheduler.cc
@@ -51,7 +51,8 @@
 JobScheduler::JobScheduler(const SchedulerOptions& options)
     : m_options(options),
       m_shares({.partition = options.partition, .epoch = options.epoch}),
-      m_highest_fencing_token(options.epoch) {}
+      m_highest_fencing_token(options.epoch),
+      m_overload(options.overload) {}
 
 void JobScheduler::Restore(const KeyedRecord& record) {
   if (record.key.starts_with(kMetadataPrefix)) {
@@ -345,6 +346,7 @@
     m_next_due = std::min(m_next_due, now + Milliseconds(config::kRenewSpacingMs));
     return;
   }
+  RankAccounts(&waiting, now);
   std::sort(waiting.begin(), waiting.end(), ComesBefore);
   std::map<ServiceName, CandidatePool> pools = FindPools(&m_sessions, now);
   for (WaitingStep& step : waiting) {
@@ -508,6 +510,11 @@
   }
   session.hosted.Put(key, hosted);
   m_unanswered_bytes += StartBytes(waiting->job->spec().payload);
+  if (!spec.lasting) {
+    m_overload.NotePlaced(
+        *waiting->job,
+        static_cast<std::int64_t>(spec.cpu_millicores) * spec.estimate.count() / 1000, now);
+  }
   session.unanswered_starts.push_back({.task = key,
                                        .run = run,
                                        .reserved = hosted.reserved,
--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -281,6 +281,7 @@
     /// Orders and answers take random times up to this, each on its own: they overtake each other
     /// and reach whichever incarnation is up then.
     std::optional<Milliseconds> max_transit = std::nullopt;
+    OverloadChoice overload = OverloadChoice::kByConfiguration;
   };
 
   explicit SchedulerSimulation(const Options& options)
@@ -323,7 +324,9 @@
     old_epoch = epoch;
     if (old_holder) epoch += config::kTermsPerGeneration;
     holder = std::make_unique<JobScheduler>(
-        SchedulerOptions{.partition = m_options.partition, .epoch = epoch});
+        SchedulerOptions{.partition = m_options.partition,
+                         .epoch = epoch,
+                         .overload = m_options.overload});
     for (const auto& [key, value] : store) holder->Restore({.key = key, .value = value});
     holder->FinishRestore(now, unix_offset, now + inherited);
     for (const PendingRenew& pending : m_pending_renews) {
