Use learned durations for deadlines, demand and stalled runs

The holder computes the expected duration of each step when it accepts or restores a job, and uses it wherever it used the caller's estimate.

--- a/src/config_stragglers.h
+++ b/src/config_stragglers.h
@@ -40,6 +40,11 @@
 /// apart. A duration longer than the estimate by no more than this agrees with it.
 inline constexpr std::int64_t kEndNoticeMs = 60;
 
+/// Milliseconds from the order of a start to its confirmation, or a tenth of the estimate if that
+/// is longer, up to which the run's duration is learned. Beyond, the time of the start is too
+/// uncertain.
+inline constexpr std::int64_t kMaxStartAnswerMs = 150;
+
 /// Minimum time in milliseconds between two reports of a queue's learned durations.
 inline constexpr std::int64_t kDurationReportMs = 5000;
 
--- a/src/events.h
+++ b/src/events.h
@@ -115,6 +115,9 @@
   kMoveHeld = 721,
   kRoomHeld = 722,
   kTokensExhausted = 723,
+  kTaskCopied = 750,
+  kCopyWon = 751,
+  kDurationLearned = 752,
   // Partitions of the job store, and the calls of callers.
   kPartitionClaimed = 800,
   kPartitionLoaded = 801,
--- a/src/job.cc
+++ b/src/job.cc
@@ -8,12 +8,17 @@
 
 namespace endivewood {
 
-Job::Job(JobRecord record, Milliseconds arrived) : m_record(std::move(record)), m_arrived(arrived) {
-  for (const StepSpec& step : spec().steps) {
+Job::Job(JobRecord record, Milliseconds arrived, std::vector<Milliseconds> durations)
+    : m_record(std::move(record)), m_arrived(arrived), m_durations(std::move(durations)) {
+  for (std::size_t step = m_durations.size(); step < spec().steps.size(); ++step) {
+    m_durations.push_back(spec().steps[step].estimate);
+  }
+  for (std::size_t index = 0; index < spec().steps.size(); ++index) {
+    const StepSpec& step = spec().steps[index];
     m_lasting = m_lasting || step.lasting;
     if (step.lasting) continue;
-    m_work +=
-        static_cast<std::int64_t>(step.count) * step.cpu_millicores * step.estimate.count() / 1000;
+    m_work += static_cast<std::int64_t>(step.count) * step.cpu_millicores *
+              m_durations[index].count() / 1000;
   }
   m_critical_path = CriticalPathOf(nullptr);
 }
@@ -103,7 +108,7 @@
     Milliseconds begin{0};
     for (const int dependency : step_spec.depends) begin = std::max(begin, finish[dependency]);
     const bool done = occurrence != nullptr && occurrence->steps[step].done == step_spec.count;
-    finish[step] = begin + (done || step_spec.lasting ? Milliseconds{0} : step_spec.estimate);
+    finish[step] = begin + (done || step_spec.lasting ? Milliseconds{0} : m_durations[step]);
     longest = std::max(longest, finish[step]);
   }
   return longest;
@@ -117,7 +122,7 @@
       const StepSpec& step_spec = spec().steps[step];
       if (step_spec.lasting) continue;
       const std::int64_t left = step_spec.count - each.steps[step].done;
-      work += left * step_spec.cpu_millicores * step_spec.estimate.count() / 1000;
+      work += left * step_spec.cpu_millicores * m_durations[step].count() / 1000;
     }
   }
   m_remaining_work = std::min(work, static_cast<std::int64_t>(config::kMaxJobWork));
--- a/src/job.h
+++ b/src/job.h
@@ -57,7 +57,7 @@
   Milliseconds due{0};  ///< By the scheduler's clock.
   std::vector<StepState> steps;
   bool complete = false;
-  /// Estimated length of the critical path through the steps that aren't done.
+  /// Expected length of the critical path through the steps that aren't done.
   Milliseconds remaining_path{0};
 };
 
@@ -108,7 +108,8 @@
 class Job {
  public:
   /// @param arrived arrival time by the scheduler's clock.
-  Job(JobRecord record, Milliseconds arrived);
+  /// @param durations learned duration of one task by step; empty: the estimates.
+  Job(JobRecord record, Milliseconds arrived, std::vector<Milliseconds> durations = {});
 
   const JobRecord& record() const { return m_record; }
   const JobSpec& spec() const { return m_record.spec; }
@@ -128,6 +129,8 @@
   /// @returns the task, or nullptr if the job has no such task.
   TaskState* Find(const TaskKey& key);
   const StepSpec& StepOf(const TaskKey& key) const { return spec().steps[key.step]; }
+  /// @returns the expected duration of one task of a step.
+  Milliseconds DurationOf(int step) const { return m_durations[static_cast<std::size_t>(step)]; }
 
   /// @returns whether a task of the same step and occurrence is done.
   bool AnyTaskDone(const TaskKey& key) const;
@@ -172,6 +175,7 @@
 
   JobRecord m_record;
   Milliseconds m_arrived;
+  std::vector<Milliseconds> m_durations;  ///< By step.
   std::map<int, Occurrence> m_occurrences;
   int m_next_occurrence = 0;
   bool m_lasting = false;
--- a/src/job_node_dump.cc
+++ b/src/job_node_dump.cc
@@ -23,11 +23,19 @@
                          {"held_for", session.held.size()},
                          {"unanswered", session.unanswered}});
   }
+  nlohmann::json durations = nlohmann::json::object();
+  for (const auto& [queue, summary] : term.scheduler().durations().Summaries()) {
+    durations[queue.str()] = {{"factor", summary.factor},
+                              {"slope", summary.slope},
+                              {"spread", summary.spread},
+                              {"runs", summary.runs}};
+  }
   return {{"partition", term.options().partition.number},
           {"epoch", term.options().epoch},
           {"active", term.active()},
           {"jobs", term.scheduler().jobs().size()},
           {"results", term.scheduler().results()},
+          {"durations", std::move(durations)},
           {"upstreams", std::move(upstreams)}};
 }
 
--- a/src/job_scheduler.cc
+++ b/src/job_scheduler.cc
@@ -37,12 +37,12 @@
 }
 
 /// @returns the millicores needed to start waiting tasks in time. Short tasks can wait for cores to
-/// become free, so they count by estimate / permitted wait; late tasks may wait longer.
-std::int64_t WaitingDemand(const StepSpec& step, int tasks, bool on_time) {
+/// become free, so they count by duration / permitted wait; late tasks may wait longer.
+std::int64_t WaitingDemand(const StepSpec& step, Milliseconds duration, int tasks, bool on_time) {
   const double within =
       static_cast<double>(on_time ? config::kMaxStartDelayMs : config::kMaxLateStartDelayMs);
   const double share =
-      step.lasting ? 1.0 : std::min(1.0, static_cast<double>(step.estimate.count()) / within);
+      step.lasting ? 1.0 : std::min(1.0, static_cast<double>(duration.count()) / within);
   return static_cast<std::int64_t>(share * tasks * ReservationOf(step).cpu_millicores);
 }
 
@@ -87,7 +87,7 @@
   }
   for (auto& [id, job] : m_jobs) {
     const Milliseconds arrived = std::min(now, job->record().accepted - unix_offset);
-    job = std::make_unique<Job>(job->record(), arrived);
+    job = std::make_unique<Job>(job->record(), arrived, DurationsOf(job->spec()));
     job->record_stored = true;
     const auto progress = m_restored_progress.find(id);
     if (progress != m_restored_progress.end()) job->Apply(progress->second);
@@ -321,7 +321,7 @@
         const Milliseconds latest_start =
             job->OnTimeDeadlineOf(occurrence) - occurrence.remaining_path;
         m_cpu_waiting[job->spec().service] +=
-            WaitingDemand(spec, waiting_tasks, latest_start >= now);
+            WaitingDemand(spec, job->DurationOf(step), waiting_tasks, latest_start >= now);
         waiting.push_back({.job = job.get(),
                            .occurrence = &occurrence,
                            .step = step,
@@ -474,12 +474,13 @@
                    .reserved = ReservationOf(spec),
                    .state = HostedState::kStarting,
                    .ordered_at = now,
-                   .estimate = spec.estimate,
+                   .estimate = waiting->job->DurationOf(waiting->step),
                    .checkpoint = task.checkpoint,
                    .lasting = spec.lasting,
                    .best_effort = spec.best_effort,
                    .target_latency = spec.target_latency};
   hosted.progressed_at = now;
+  hosted.resumed = !task.checkpoint.empty();
   session.hosted.Put(key, hosted);
   m_unanswered_bytes += StartBytes(waiting->job->spec().payload);
   session.unanswered_starts.push_back(
--- a/src/job_scheduler.h
+++ b/src/job_scheduler.h
@@ -12,6 +12,7 @@
 #include "job_admission.h"
 #include "job_placement.h"
 #include "offered_load.h"
+#include "run_durations.h"
 #include "upstream_session.h"
 
 namespace endivewood {
@@ -165,6 +166,7 @@
   const SchedulerOptions& options() const { return m_options; }
   const std::map<JobId, std::unique_ptr<Job>>& jobs() const { return m_jobs; }
   const std::map<UpstreamId, UpstreamSession>& sessions() const { return m_sessions; }
+  const RunDurations& durations() const { return m_durations; }
   /// @returns the highest fencing token of any order so far.
   std::uint64_t highest_fencing_token() const { return m_highest_fencing_token; }
   std::size_t results() const { return m_results.size(); }
@@ -203,6 +205,13 @@
   ServiceLoad MeasureLoad(const ServiceName& service, Milliseconds now) const;
   bool MayPlace(const Job& job, int step, const TaskState& task, Milliseconds now) const;
 
+  // job_scheduler_durations.cc
+  /// @returns the expected duration of one task by step.
+  std::vector<Milliseconds> DurationsOf(const JobSpec& spec) const;
+  /// Learns from a run that ended as done, unless a known cause lengthened or shortened it.
+  void LearnDuration(const UpstreamSession& session, const HostedRun& run, const TaskKey& task,
+                     Milliseconds now);
+
   // job_scheduler_upstreams.cc
   UpstreamSession* FindSession(const UpstreamId& id);
   void ApplyEntry(UpstreamSession* session, const UpstreamEntry& entry, Milliseconds now);
@@ -343,6 +352,8 @@
   /// When a waiting lasting task, or one that can't be moved, was last logged.
   std::map<TaskKey, Milliseconds> m_wait_reports;
   std::map<ServiceName, OfferedLoad> m_offered;
+  RunDurations m_durations;
+  std::map<QueueName, Milliseconds> m_durations_reported;  ///< Last report by queue.
   struct PlannedCapacity {
     std::int64_t millicores = 0;
     Milliseconds until{0};  ///< The planner updates it well before.
--- a/src/job_scheduler_admission.cc
+++ b/src/job_scheduler_admission.cc
@@ -23,8 +23,10 @@
   if (m_results.count(id) > 0) return {.kind = SubmitResult::Kind::kStored, .change = 0};
   ServiceLoad& load = LoadOf(spec.service, now);
   OfferedLoad* const offered = &m_offered[spec.service];
+  std::vector<Milliseconds> durations = DurationsOf(spec);
   auto job = std::make_unique<Job>(
-      JobRecord{.spec = std::move(spec), .policy = policy, .accepted = now + m_unix_offset}, now);
+      JobRecord{.spec = std::move(spec), .policy = policy, .accepted = now + m_unix_offset}, now,
+      std::move(durations));
   if (job->spec().occurrences <= 0 && !job->lasting()) {
     offered->RecordArrival(id, job->work(), now);
   }
--- a/src/job_scheduler_run_lists.cc
+++ b/src/job_scheduler_run_lists.cc
@@ -52,6 +52,8 @@
   const auto hosted = session->hosted.find(row.task);
   const bool known = hosted != session->hosted.end() && hosted->second.run == row.run;
   const Milliseconds ran = known ? now - hosted->second.ordered_at : Milliseconds{0};
+  const std::optional<HostedRun> run =
+      known ? std::optional<HostedRun>(hosted->second) : std::nullopt;
   if (known) session->hosted.erase(hosted);
   const auto found = m_jobs.find(row.task.job);
   TaskState* task = found == m_jobs.end() ? nullptr : found->second->Find(row.task);
@@ -76,6 +78,7 @@
   if (row.end == RunEnd::kFailed) {
     HandleFailure(session, &job, task, row, now);
   } else if (row.end == RunEnd::kDone && !before_lapse && !lasting) {
+    if (run) LearnDuration(*session, *run, row.task, now);
     session->ForgetFailures();
     job.MarkDone(row.task);
     if (job.state == JobState::kComplete) {
@@ -208,7 +211,8 @@
   if (task != nullptr) {
     const StepSpec& spec = found->second->StepOf(row.task);
     hosted.reserved = ReservationOf(spec);
-    hosted.estimate = spec.estimate;
+    hosted.estimate = found->second->DurationOf(row.task.step);
+    hosted.resumed = true;
     hosted.lasting = spec.lasting;
     hosted.best_effort = spec.best_effort;
     hosted.target_latency = spec.target_latency;
--- a/src/job_scheduler_upstreams.cc
+++ b/src/job_scheduler_upstreams.cc
@@ -290,6 +290,7 @@
   if (reply.start_time != 0) session->start_time = reply.start_time;
   session->clock.Observe(reply.clock, now);
   session->last_answer = now;
+  session->ends_timely = session->unanswered == 0 && !session->more_ended && !reply.more_ended;
   session->unanswered = 0;
   const bool fenced_now = !session->fenced;
   if (fenced_now) {
--- a/src/run_durations.cc
+++ b/src/run_durations.cc
@@ -159,14 +159,19 @@
   return model == nullptr ? 0 : model->fitted_runs;
 }
 
+DurationSummary RunDurations::SummaryOf(const QueueName& queue) const {
+  const Model* const model = Find(queue);
+  if (model == nullptr) return {};
+  return {.factor = std::exp(model->LogRatioAt(model->mean_log_estimate)),
+          .slope = 1 + model->tilt,
+          .spread = model->spread,
+          .runs = model->fitted_runs};
+}
+
 std::map<QueueName, DurationSummary> RunDurations::Summaries() const {
   std::map<QueueName, DurationSummary> summaries;
   for (const auto& [queue, model] : m_models) {
-    if (model.fitted_runs == 0) continue;
-    summaries[queue] = {.factor = std::exp(model.LogRatioAt(model.mean_log_estimate)),
-                        .slope = 1 + model.tilt,
-                        .spread = model.spread,
-                        .runs = model.fitted_runs};
+    if (model.fitted_runs > 0) summaries[queue] = SummaryOf(queue);
   }
   return summaries;
 }
--- a/src/run_durations.h
+++ b/src/run_durations.h
@@ -39,6 +39,9 @@
   /// @returns the number of runs that the queue's last update has seen.
   std::size_t RunsOf(const QueueName& queue) const;
 
+  /// @returns the queue's summary, with a factor of 1 if it has no runs.
+  DurationSummary SummaryOf(const QueueName& queue) const;
+
   /// @returns the summaries of all queues with ended runs.
   std::map<QueueName, DurationSummary> Summaries() const;
 
--- a/src/upstream_session.h
+++ b/src/upstream_session.h
@@ -33,7 +33,8 @@
   int percent = 0;                ///< Progress.
   int usage = 0;                  ///< See RunningRow.
   Milliseconds progressed_at{0};  ///< When `percent` last changed.
-  Milliseconds estimate{0};
+  Milliseconds estimate{0};       ///< Expected duration, as learned.
+  bool resumed = false;           ///< It began at a checkpoint, or before this holder's term.
   std::string checkpoint;
   bool lasting = false;
   bool best_effort = false;
@@ -114,6 +115,8 @@
   bool hosted_complete = false;  ///< A run list was read, so `hosted` is complete.
   /// The last run list may not contain all ended runs, so a run that isn't listed may have ended.
   bool more_ended = false;
+  /// The ends in the last run list are new: neither a missing answer nor a full list delayed them.
+  bool ends_timely = false;
   /// It has accepted this holder's fencing token, so no older holder can change its runs.
   bool fenced = false;
   std::int64_t start_time = 0;
--- a/tests/run_durations_test.cc
+++ b/tests/run_durations_test.cc
@@ -7,6 +7,7 @@
 #include <random>
 
 #include "config_stragglers.h"
+#include "scheduler_simulation.h"
 
 namespace endivewood {
 namespace {
@@ -159,5 +160,67 @@
   CHECK(durations.Expected(queue, Milliseconds(0)) == Milliseconds(0));
 }
 
+using testing::SchedulerSimulation;
+using testing::Step;
+using testing::test_policy;
+
+/// Runs jobs of eight tasks one after the other.
+void RunJobs(SchedulerSimulation* simulation, const std::string& prefix, int jobs) {
+  for (int i = 0; i < jobs; ++i) {
+    const std::string id = prefix + std::to_string(i);
+    simulation->Submit(simulation->Spec(id, {Step(8, 1000)}), test_policy);
+    REQUIRE(simulation->RunUntil([&] { return simulation->StateOf(id) == JobState::kComplete; },
+                                 Milliseconds(20000)));
+  }
+}
+
+const Job& SubmitJob(SchedulerSimulation* simulation, const std::string& id) {
+  simulation->Submit(simulation->Spec(id, {Step(8, 1000)}), test_policy);
+  return *simulation->holder->jobs().at(JobId(id));
+}
+
+// Guards against deadlines and an order of work by estimates that the runs have shown to be wrong.
+TEST_CASE("a scheduler uses the durations that ended runs have shown") {
+  SchedulerSimulation simulation({});
+  simulation.task_duration = Milliseconds(1500);
+  RunJobs(&simulation, "early", 30);
+  const Job& job = SubmitJob(&simulation, "late");
+  CHECK(job.DurationOf(0) > Milliseconds(1300));
+  CHECK(job.DurationOf(0) < Milliseconds(1650));
+  CHECK(job.critical_path() == job.DurationOf(0));
+  CHECK(job.work() == 8 * job.DurationOf(0).count());
+  CHECK(job.spec().steps[0].estimate == Milliseconds(500));
+  CHECK(job.record().spec.steps[0].estimate == Milliseconds(500));
+}
+
+// Guards against serving deployments whose estimates are good otherwise than before.
+TEST_CASE("a scheduler with good estimates uses them") {
+  SchedulerSimulation simulation({});
+  simulation.task_duration = Milliseconds(500);
+  RunJobs(&simulation, "early", 30);
+  CHECK(simulation.holder->durations().RunsOf(QueueName("q")) >= 200);
+  const Job& job = SubmitJob(&simulation, "late");
+  CHECK(job.DurationOf(0) == Milliseconds(500));
+}
+
+// Guards against a new holder that takes durations from nothing, or learns from runs whose start it
+// doesn't know.
+TEST_CASE("a new holder begins with the estimates and learns only from its own runs") {
+  SchedulerSimulation simulation({});
+  simulation.task_duration = Milliseconds(1500);
+  RunJobs(&simulation, "early", 30);
+  SubmitJob(&simulation, "adopted");
+  simulation.Run(Milliseconds(800));
+  simulation.StartNewHolder();
+  simulation.old_holder.reset();
+  CHECK(simulation.holder->jobs().at(JobId("adopted"))->DurationOf(0) == Milliseconds(500));
+  REQUIRE(simulation.RunUntil([&] { return simulation.StateOf("adopted") == JobState::kComplete; },
+                              Milliseconds(20000)));
+  CHECK(simulation.holder->durations().RunsOf(QueueName("q")) == 0);
+  RunJobs(&simulation, "own", 10);
+  CHECK(simulation.holder->durations().RunsOf(QueueName("q")) >= 72);
+  CHECK(simulation.violations.empty());
+}
+
 }  // namespace
 }  // namespace endivewood
