Start copies of slow tasks of speculative steps

A task that has taken longer than 95 % of its kind, and at least 1.5 times its typical duration, gets a second run on another upstream if no task of the service waits for room; the first run that ends as done counts. Copies are at most 4 % of the running tasks.

--- a/src/config_stragglers.h
+++ b/src/config_stragglers.h
@@ -48,4 +48,28 @@
 /// Minimum time in milliseconds between two reports of a queue's learned durations.
 inline constexpr std::int64_t kDurationReportMs = 5000;
 
+/// Share of a kind's tasks that end sooner than one that is copied.
+inline constexpr double kCopyQuantile = 0.95;
+
+/// A task is copied only after this multiple of its typical duration. Below, a copy that starts
+/// from the beginning rarely ends first.
+inline constexpr double kMinCopyElapsedFactor = 1.5;
+
+/// Milliseconds by which a copy has to be expected to end sooner than the first run: a start and
+/// the notice of an end take about as long.
+inline constexpr std::int64_t kMinCopySavingMs = 150;
+
+/// Ended runs of a queue before its tasks are copied. With fewer, the 95th percentile is a guess.
+inline constexpr std::size_t kCopyMinRuns = 64;
+
+/// Copies may be this share of a service's other running tasks: 3 % of the tasks are slow, and a
+/// copy takes room that tasks arriving next could use.
+inline constexpr double kMaxCopyShare = 0.04;
+
+/// Copies that a service may have however few tasks run.
+inline constexpr std::size_t kAlwaysPermittedCopies = 1;
+
+/// Milliseconds between two searches for tasks to copy. A search visits all running tasks.
+inline constexpr std::int64_t kCopyCheckMs = 200;
+
 }  // namespace endivewood::config
--- a/src/job.h
+++ b/src/job.h
@@ -34,6 +34,8 @@
   std::vector<FailedRun> failed;
   int runs = 0;  ///< Runs ordered by this holder; used for unique run numbers.
   std::optional<PlacedRun> placed;
+  /// Second run beside `placed`, where the step is speculative.
+  std::optional<PlacedRun> copy;
   std::string checkpoint;
   Milliseconds not_before{0};               ///< Earliest time of the next run.
   std::optional<Milliseconds> requeued_at;  ///< When the end of the previous run became known.
--- a/src/job_scheduler.cc
+++ b/src/job_scheduler.cc
@@ -331,14 +331,30 @@
       }
     }
   }
-  if (waiting.empty()) return;
   if (!m_rights.start) {
+    if (waiting.empty()) return;
     m_next_due = std::min(m_next_due, now + Milliseconds(config::kRenewSpacingMs));
     return;
   }
-  std::sort(waiting.begin(), waiting.end(), ComesBefore);
+  PlaceWaiting(&waiting, now);
+  PlaceCopies(ServicesOf(waiting), now);
+}
+
+std::set<ServiceName> JobScheduler::ServicesOf(const std::vector<WaitingStep>& waiting) {
+  std::set<ServiceName> services;
+  for (const WaitingStep& step : waiting) {
+    if (step.spec().count > step.state().done + step.state().placed) {
+      services.insert(step.job->spec().service);
+    }
+  }
+  return services;
+}
+
+void JobScheduler::PlaceWaiting(std::vector<WaitingStep>* waiting, Milliseconds now) {
+  if (waiting->empty()) return;
+  std::sort(waiting->begin(), waiting->end(), ComesBefore);
   std::map<ServiceName, CandidatePool> pools = FindPools(&m_sessions, now);
-  for (WaitingStep& step : waiting) {
+  for (WaitingStep& step : *waiting) {
     CandidatePool& pool = pools[step.job->spec().service];
     if (step.spec().gang) {
       PlaceGang(&step, &pool.candidates, now);
@@ -463,9 +479,13 @@
                     .occurrence = waiting->occurrence->number,
                     .step = waiting->step,
                     .index = index};
-  task.placed = PlacedRun{.upstream = session.entry.id, .run = run};
+  if (task.placed) {
+    task.copy = PlacedRun{.upstream = session.entry.id, .run = run};
+  } else {
+    task.placed = PlacedRun{.upstream = session.entry.id, .run = run};
+    ++state.placed;
+  }
   task.inherited = false;
-  ++state.placed;
   const auto held = session.held.find(key);
   if (held != session.held.end()) candidate->free = candidate->free + held->second;
   DropHold(key);
--- a/src/job_scheduler.h
+++ b/src/job_scheduler.h
@@ -13,6 +13,7 @@
 #include "job_placement.h"
 #include "offered_load.h"
 #include "run_durations.h"
+#include "task_copies.h"
 #include "upstream_session.h"
 
 namespace endivewood {
@@ -187,6 +188,9 @@
   void StopRunsOf(const JobId& id, Milliseconds now);
   void ExpireResults(Milliseconds unix_now);
   void Place(Milliseconds now, Milliseconds unix_offset);
+  void PlaceWaiting(std::vector<WaitingStep>* waiting, Milliseconds now);
+  /// @returns the services of which some of the steps still have tasks to start.
+  static std::set<ServiceName> ServicesOf(const std::vector<WaitingStep>& waiting);
   bool MaySendStart(const Job& job) const;
   static std::int64_t StartBytes(const std::string& payload);
   void PlaceStep(WaitingStep* waiting, CandidatePool* pool, Milliseconds now);
@@ -212,6 +216,25 @@
   void LearnDuration(const UpstreamSession& session, const HostedRun& run, const TaskKey& task,
                      Milliseconds now);
 
+  // job_scheduler_copies.cc
+  /// The running tasks of a service, and those of them that may get a copy.
+  struct CopyChoice {
+    std::vector<CopyCandidate> candidates;
+    std::size_t running = 0;
+    std::size_t copies = 0;
+    bool any_may_follow = false;  ///< A running task may become slow enough for a copy.
+  };
+  std::map<ServiceName, CopyChoice> FindCopyCandidates(Milliseconds now);
+  /// Starts copies of slow tasks.
+  /// @param short_of_room services with tasks that wait for room.
+  void PlaceCopies(const std::set<ServiceName>& short_of_room, Milliseconds now);
+  void StartCopy(const TaskKey& key, CandidatePool* pool, Milliseconds now);
+  /// @returns whether a run that an earlier holder started is kept beside the known one.
+  bool MayAdoptAsCopy(const Job& job, const TaskState& task, const RunningRow& row,
+                      const UpstreamId& upstream) const;
+  /// Call when a run of the task has ended as done: stops the other one, if there is one.
+  void StopOtherRun(const TaskKey& key, bool copy_won, Milliseconds now);
+
   // job_scheduler_upstreams.cc
   UpstreamSession* FindSession(const UpstreamId& id);
   void ApplyEntry(UpstreamSession* session, const UpstreamEntry& entry, Milliseconds now);
@@ -353,6 +376,7 @@
   std::map<TaskKey, Milliseconds> m_wait_reports;
   std::map<ServiceName, OfferedLoad> m_offered;
   RunDurations m_durations;
+  Milliseconds m_copies_checked_at{0};
   std::map<QueueName, Milliseconds> m_durations_reported;  ///< Last report by queue.
   struct PlannedCapacity {
     std::int64_t millicores = 0;
--- a/src/job_scheduler_run_lists.cc
+++ b/src/job_scheduler_run_lists.cc
@@ -57,9 +57,10 @@
   if (known) session->hosted.erase(hosted);
   const auto found = m_jobs.find(row.task.job);
   TaskState* task = found == m_jobs.end() ? nullptr : found->second->Find(row.task);
+  const PlacedRun ended{.upstream = session->entry.id, .run = row.run};
+  const bool is_copy = task != nullptr && task->copy == ended;
   const bool current =
-      task != nullptr && !task->done &&
-      (!task->placed || *task->placed == PlacedRun{.upstream = session->entry.id, .run = row.run});
+      task != nullptr && !task->done && (!task->placed || *task->placed == ended || is_copy);
   LogEvent(Event::kTaskEnded, {RequestField(row.task.job.str()),
                                {"task", row.task.str()},
                                {"run", row.run},
@@ -81,6 +82,7 @@
     if (run) LearnDuration(*session, *run, row.task, now);
     session->ForgetFailures();
     job.MarkDone(row.task);
+    StopOtherRun(row.task, is_copy, now);
     if (job.state == JobState::kComplete) {
       EndJob(row.task.job, JobState::kComplete, now);
     } else {
@@ -197,7 +199,9 @@
 void JobScheduler::Adopt(UpstreamSession* session, const RunningRow& row, Milliseconds now) {
   const auto found = m_jobs.find(row.task.job);
   TaskState* task = found == m_jobs.end() ? nullptr : found->second->Find(row.task);
-  const bool wanted = task != nullptr && !task->done && !task->placed;
+  const bool as_copy =
+      task != nullptr && MayAdoptAsCopy(*found->second, *task, row, session->entry.id);
+  const bool wanted = task != nullptr && !task->done && (!task->placed || as_copy);
   HostedRun hosted{.run = row.run,
                    .reserved = {},
                    .state = HostedState::kRunning,
@@ -233,7 +237,12 @@
     Stop(session, row.task, &kept, now);
     return;
   }
-  task->placed = PlacedRun{.upstream = session->entry.id, .run = row.run};
+  const PlacedRun adopted{.upstream = session->entry.id, .run = row.run};
+  if (as_copy) {
+    task->copy = adopted;
+    return;
+  }
+  task->placed = adopted;
   task->inherited = false;
   if (!row.checkpoint.empty()) task->checkpoint = row.checkpoint;
   ++found->second->occurrences().at(row.task.occurrence).steps[row.task.step].placed;
--- a/src/job_scheduler_upstreams.cc
+++ b/src/job_scheduler_upstreams.cc
@@ -1,6 +1,7 @@
 /// @file
 /// JobScheduler: registry, leases and orders of upstreams, and moving tasks between them.
 #include <algorithm>
+#include <utility>
 
 #include "best_effort_pace.h"
 #include "config.h"
@@ -96,8 +97,11 @@
   if (job == m_jobs.end()) return;
   TaskState* state = job->second->Find(task);
   if (state == nullptr || !state->placed) return;
-  if (*state->placed != PlacedRun{.upstream = upstream, .run = run}) return;
-  state->placed.reset();
+  const PlacedRun gone{.upstream = upstream, .run = run};
+  if (state->copy == gone) state->copy.reset();
+  if (*state->placed != gone) return;
+  state->placed = std::exchange(state->copy, std::nullopt);
+  if (state->placed) return;
   state->requeued_at = std::max(state->requeued_at.value_or(now), now);
   state->not_before = std::max(state->not_before, now);
   --job->second->occurrences().at(task.occurrence).steps[task.step].placed;
