--- a/src/events.h
+++ b/src/events.h
@@ -118,6 +118,9 @@
   kTaskWaitsForLimit = 730,
   kLimitLowered = 731,
   kAccountSurplus = 740,
+  kTaskCopied = 750,
+  kCopyWon = 751,
+  kDurationLearned = 752,
   // Partitions of the job store, and the calls of callers.
   kPartitionClaimed = 800,
   kPartitionLoaded = 801,
--- a/src/job_admission.cc
+++ b/src/job_admission.cc
@@ -32,7 +32,7 @@
     const auto running = static_cast<double>(m_load.running);
     double response = Response(ahead, running, static_cast<double>(m_load.free), capacity, work);
     if (work.limit >= 0) {
-      const AccountLoad& limit = m_load.limits[work.limit];
+      const LimitedWork& limit = m_load.limits[work.limit];
       const double room = std::clamp(static_cast<double>(limit.capacity), 1.0, capacity);
       const auto account_running = static_cast<double>(limit.running);
       const double time = std::max(1.0, static_cast<double>(m_load.task_time.count()));
--- a/src/job_admission.h
+++ b/src/job_admission.h
@@ -30,7 +30,7 @@
 };
 
 /// What an account with a limit runs in a service.
-struct AccountLoad {
+struct LimitedWork {
   AccountName account;
   std::int64_t capacity = 0;  ///< Millicores that it may run at once.
   std::int64_t running = 0;   ///< Remaining work of its running tasks, core-milliseconds.
@@ -48,7 +48,7 @@
   std::int64_t free = 0;       ///< Millicores that no task uses.
   Milliseconds task_time{0};   ///< Mean estimate of running tasks, weighted by cores.
   std::vector<OpenWork> open;  ///< Jobs that haven't started all tasks, in scheduling order.
-  std::vector<AccountLoad> limits;
+  std::vector<LimitedWork> limits;
   bool contended = false;  ///< See IsContended.
 
   /// Adds an accepted job to `open`.
--- a/src/job_placement.h
+++ b/src/job_placement.h
@@ -12,7 +12,7 @@
 /// Whether work comes after that of other accounts.
 struct AccountStanding {
   bool surplus = false;      ///< See Job::surplus.
-  bool above_share = false;  ///< The account got more than its share lately, see AccountUsage.
+  bool above_share = false;  ///< The account got more than its share lately, see ReceivedWork.
 
   auto operator<=>(const AccountStanding&) const = default;
 };
--- a/src/job_scheduler.cc
+++ b/src/job_scheduler.cc
@@ -37,12 +37,12 @@
 }
 
 /// @returns the millicores needed to start waiting tasks in time. Short tasks can wait for cores to
-/// become free, so they count by estimate / permitted wait; late tasks may wait longer.
-std::int64_t WaitingDemand(const StepSpec& step, int tasks, bool on_time) {
+/// become free, so they count by duration / permitted wait; late tasks may wait longer.
+std::int64_t WaitingDemand(const StepSpec& step, Milliseconds duration, int tasks, bool on_time) {
   const double within =
       static_cast<double>(on_time ? config::kMaxStartDelayMs : config::kMaxLateStartDelayMs);
   const double share =
-      step.lasting ? 1.0 : std::min(1.0, static_cast<double>(step.estimate.count()) / within);
+      step.lasting ? 1.0 : std::min(1.0, static_cast<double>(duration.count()) / within);
   return static_cast<std::int64_t>(share * tasks * ReservationOf(step).cpu_millicores);
 }
 
@@ -91,7 +91,7 @@
   }
   for (auto& [id, job] : m_jobs) {
     const Milliseconds arrived = std::min(now, job->record().accepted - unix_offset);
-    job = std::make_unique<Job>(job->record(), arrived);
+    job = std::make_unique<Job>(job->record(), arrived, DurationsOf(job->spec()));
     job->record_stored = true;
     const auto progress = m_restored_progress.find(id);
     if (progress != m_restored_progress.end()) job->Apply(progress->second);
@@ -331,7 +331,8 @@
         if (waiting_tasks <= 0 || !job->DependenciesDone(occurrence, step)) continue;
         const Milliseconds latest_start =
             job->OnTimeDeadlineOf(occurrence) - occurrence.remaining_path;
-        AddWaitingDemand(*job, WaitingDemand(spec, waiting_tasks, latest_start >= now));
+        AddWaitingDemand(
+            *job, WaitingDemand(spec, job->DurationOf(step), waiting_tasks, latest_start >= now));
         waiting.push_back({.job = job.get(),
                            .occurrence = &occurrence,
                            .step = step,
@@ -341,15 +342,31 @@
       }
     }
   }
-  if (waiting.empty()) return;
   if (!m_rights.start) {
+    if (waiting.empty()) return;
     m_next_due = std::min(m_next_due, now + Milliseconds(config::kRenewSpacingMs));
     return;
   }
-  RankAccounts(&waiting, now);
-  std::sort(waiting.begin(), waiting.end(), ComesBefore);
+  PlaceWaiting(&waiting, now);
+  PlaceCopies(ServicesOf(waiting), now);
+}
+
+std::set<ServiceName> JobScheduler::ServicesOf(const std::vector<WaitingStep>& waiting) {
+  std::set<ServiceName> services;
+  for (const WaitingStep& step : waiting) {
+    if (step.spec().count > step.state().done + step.state().placed) {
+      services.insert(step.job->spec().service);
+    }
+  }
+  return services;
+}
+
+void JobScheduler::PlaceWaiting(std::vector<WaitingStep>* waiting, Milliseconds now) {
+  if (waiting->empty()) return;
+  RankAccounts(waiting, now);
+  std::sort(waiting->begin(), waiting->end(), ComesBefore);
   std::map<ServiceName, CandidatePool> pools = FindPools(&m_sessions, now);
-  for (WaitingStep& step : waiting) {
+  for (WaitingStep& step : *waiting) {
     CandidatePool& pool = pools[step.job->spec().service];
     if (step.spec().gang) {
       PlaceGang(&step, &pool.candidates, now);
@@ -485,9 +502,13 @@
                     .occurrence = waiting->occurrence->number,
                     .step = waiting->step,
                     .index = index};
-  task.placed = PlacedRun{.upstream = session.entry.id, .run = run};
+  if (task.placed) {
+    task.copy = PlacedRun{.upstream = session.entry.id, .run = run};
+  } else {
+    task.placed = PlacedRun{.upstream = session.entry.id, .run = run};
+    ++state.placed;
+  }
   task.inherited = false;
-  ++state.placed;
   const auto held = session.held.find(key);
   if (held != session.held.end()) candidate->free = candidate->free + held->second;
   DropHold(key);
@@ -496,7 +517,7 @@
                    .reserved = ReservationOf(spec),
                    .state = HostedState::kStarting,
                    .ordered_at = now,
-                   .estimate = spec.estimate,
+                   .estimate = waiting->job->DurationOf(waiting->step),
                    .checkpoint = task.checkpoint,
                    .lasting = spec.lasting,
                    .best_effort = spec.best_effort,
@@ -508,12 +529,13 @@
     pass->load.used += hosted.charged;
     pass->load.running += hosted.charged;
   }
+  hosted.resumed = !task.checkpoint.empty();
   session.hosted.Put(key, hosted);
   m_unanswered_bytes += StartBytes(waiting->job->spec().payload);
   if (!spec.lasting) {
     m_overload.NotePlaced(
         *waiting->job,
-        static_cast<std::int64_t>(spec.cpu_millicores) * spec.estimate.count() / 1000, now);
+        static_cast<std::int64_t>(spec.cpu_millicores) * hosted.estimate.count() / 1000, now);
   }
   session.unanswered_starts.push_back({.task = key,
                                        .run = run,
--- a/src/job_scheduler_admission.cc
+++ b/src/job_scheduler_admission.cc
@@ -19,7 +19,8 @@
     const std::int64_t tasks = spec.count - state.done - state.placed;
     if (spec.lasting || tasks <= 0) continue;
     any = true;
-    const std::int64_t step_work = tasks * spec.cpu_millicores * spec.estimate.count() / 1000;
+    const std::int64_t step_work =
+        tasks * spec.cpu_millicores * job.DurationOf(step).count() / 1000;
     (job.DependenciesDone(occurrence, step) ? work->ready : work->pending) += step_work;
   }
   return any;
@@ -50,6 +51,11 @@
   m_accounts.clear();
   const bool by_cost = m_overload.by_cost();
   m_overload.SetAccounts(accounts);
+  m_overload.SetAccountRoom([this](const AccountName& account) {
+    const ResourceTotal* const limit = m_shares.LimitOf(account);
+    const bool limited = limit != nullptr && limit->cpu_millicores > 0;
+    return limited ? std::optional<std::int64_t>(limit->cpu_millicores) : std::nullopt;
+  });
   if (by_cost != m_overload.by_cost()) m_loads.clear();
   if (!accounts) return;
   for (const ClientAccount& account : *accounts) m_accounts.emplace(account.name, account);
@@ -66,9 +72,10 @@
   OfferedLoad* const offered = &m_offered[spec.service];
   const auto first_arrival = m_overload.FirstArrival(spec.service, id, now);
   const Milliseconds arrived = first_arrival.value_or(now);
+  std::vector<Milliseconds> durations = DurationsOf(spec);
   auto job = std::make_unique<Job>(
       JobRecord{.spec = std::move(spec), .policy = policy, .accepted = arrived + m_unix_offset},
-      arrived);
+      arrived, std::move(durations));
   if (job->spec().occurrences <= 0 && !job->lasting()) {
     offered->RecordArrival(id, job->work(), now);
   }
--- a/src/job_scheduler_run_lists.cc
+++ b/src/job_scheduler_run_lists.cc
@@ -52,13 +52,16 @@
   const auto hosted = session->hosted.find(row.task);
   const bool known = hosted != session->hosted.end() && hosted->second.run == row.run;
   const Milliseconds ran = known ? now - hosted->second.ordered_at : Milliseconds{0};
+  const std::optional<HostedRun> run =
+      known ? std::optional<HostedRun>(hosted->second) : std::nullopt;
   if (known) session->hosted.erase(hosted);
   session->SettleStarts(row.task, row.run);
   const auto found = m_jobs.find(row.task.job);
   TaskState* task = found == m_jobs.end() ? nullptr : found->second->Find(row.task);
+  const PlacedRun ended{.upstream = session->entry.id, .run = row.run};
+  const bool is_copy = task != nullptr && task->copy == ended;
   const bool current =
-      task != nullptr && !task->done &&
-      (!task->placed || *task->placed == PlacedRun{.upstream = session->entry.id, .run = row.run});
+      task != nullptr && !task->done && (!task->placed || *task->placed == ended || is_copy);
   LogEvent(Event::kTaskEnded, {RequestField(row.task.job.str()),
                                {"task", row.task.str()},
                                {"run", row.run},
@@ -77,8 +80,10 @@
   if (row.end == RunEnd::kFailed) {
     HandleFailure(session, &job, task, row, now);
   } else if (row.end == RunEnd::kDone && !before_lapse && !lasting) {
+    if (run) LearnDuration(*session, *run, row.task, now);
     session->ForgetFailures();
     job.MarkDone(row.task);
+    StopOtherRun(row.task, is_copy, now);
     if (job.state == JobState::kComplete) {
       EndJob(row.task.job, JobState::kComplete, now);
     } else {
@@ -196,7 +201,9 @@
 void JobScheduler::Adopt(UpstreamSession* session, const RunningRow& row, Milliseconds now) {
   const auto found = m_jobs.find(row.task.job);
   TaskState* task = found == m_jobs.end() ? nullptr : found->second->Find(row.task);
-  const bool wanted = task != nullptr && !task->done && !task->placed;
+  const bool as_copy =
+      task != nullptr && MayAdoptAsCopy(*found->second, *task, row, session->entry.id);
+  const bool wanted = task != nullptr && !task->done && (!task->placed || as_copy);
   HostedRun hosted{.run = row.run,
                    .reserved = {},
                    .state = HostedState::kRunning,
@@ -210,7 +217,8 @@
   if (task != nullptr) {
     const StepSpec& spec = found->second->StepOf(row.task);
     hosted.reserved = ReservationOf(spec);
-    hosted.estimate = spec.estimate;
+    hosted.estimate = found->second->DurationOf(row.task.step);
+    hosted.resumed = true;
     hosted.lasting = spec.lasting;
     hosted.best_effort = spec.best_effort;
     hosted.target_latency = spec.target_latency;
@@ -233,7 +241,12 @@
     Stop(session, row.task, &kept, now);
     return;
   }
-  task->placed = PlacedRun{.upstream = session->entry.id, .run = row.run};
+  const PlacedRun adopted{.upstream = session->entry.id, .run = row.run};
+  if (as_copy) {
+    task->copy = adopted;
+    return;
+  }
+  task->placed = adopted;
   task->inherited = false;
   if (!row.checkpoint.empty()) task->checkpoint = row.checkpoint;
   ++found->second->occurrences().at(row.task.occurrence).steps[row.task.step].placed;
--- a/src/job_scheduler_upstreams.cc
+++ b/src/job_scheduler_upstreams.cc
@@ -1,6 +1,7 @@
 /// @file
 /// JobScheduler: registry, leases and orders of upstreams, and moving tasks between them.
 #include <algorithm>
+#include <utility>
 
 #include "best_effort_pace.h"
 #include "config.h"
@@ -73,8 +74,8 @@
   for (auto it = m_sessions.begin(); it != m_sessions.end();) {
     UpstreamSession& session = it->second;
     session.listed = listed.count(it->first) > 0;
-    const bool idle = session.hosted.empty() && !session.renew_in_flight &&
-                      !session.HasUnsettledStart();
+    const bool idle =
+        session.hosted.empty() && !session.renew_in_flight && !session.HasUnsettledStart();
     const bool lists_complete = session.hosted_complete && !session.more_ended;
     const bool no_unknown_runs = lists_complete || session.LatestLeaseEnd() <= now;
     if (session.listed || !idle || !no_unknown_runs) {
@@ -98,8 +99,11 @@
   if (job == m_jobs.end()) return;
   TaskState* state = job->second->Find(task);
   if (state == nullptr || !state->placed) return;
-  if (*state->placed != PlacedRun{.upstream = upstream, .run = run}) return;
-  state->placed.reset();
+  const PlacedRun gone{.upstream = upstream, .run = run};
+  if (state->copy == gone) state->copy.reset();
+  if (*state->placed != gone) return;
+  state->placed = std::exchange(state->copy, std::nullopt);
+  if (state->placed) return;
   state->requeued_at = std::max(state->requeued_at.value_or(now), now);
   state->not_before = std::max(state->not_before, now);
   --job->second->occurrences().at(task.occurrence).steps[task.step].placed;
@@ -293,6 +297,7 @@
   if (reply.start_time != 0) session->start_time = reply.start_time;
   session->clock.Observe(reply.clock, now);
   session->last_answer = now;
+  session->ends_timely = session->unanswered == 0 && !session->more_ended && !reply.more_ended;
   session->unanswered = 0;
   const bool fenced_now = !session->fenced;
   if (fenced_now) {
--- a/src/overload_control.cc
+++ b/src/overload_control.cc
@@ -110,9 +110,10 @@
   OpenWork work{.path = job.critical_path(),
                 .deadline = job.arrived() + Milliseconds(stretched) + job.policy().objective,
                 .cost = CostOf(job)};
-  for (const StepSpec& step : spec.steps) {
-    const std::int64_t step_work =
-        static_cast<std::int64_t>(step.count) * step.cpu_millicores * step.estimate.count() / 1000;
+  for (int position = 0; position < static_cast<int>(spec.steps.size()); ++position) {
+    const StepSpec& step = spec.steps[position];
+    const std::int64_t step_work = static_cast<std::int64_t>(step.count) * step.cpu_millicores *
+                                   job.DurationOf(position).count() / 1000;
     (step.depends.empty() ? work.ready : work.pending) += step_work;
   }
   const Milliseconds latest_start = work.deadline - work.path;
@@ -125,7 +126,7 @@
   if (!m_account_room || !account.valid()) return -1;
   const auto known =
       std::find_if(load->limits.begin(), load->limits.end(),
-                   [&](const AccountLoad& limit) { return limit.account == account; });
+                   [&](const LimitedWork& limit) { return limit.account == account; });
   if (known != load->limits.end()) return static_cast<int>(known - load->limits.begin());
   const auto room = m_account_room(account);
   if (!room) return -1;
--- a/src/overload_control.h
+++ b/src/overload_control.h
@@ -8,8 +8,8 @@
 #include <set>
 
 #include "account_rate.h"
-#include "account_usage.h"
 #include "job_admission.h"
+#include "received_work.h"
 #include "return_schedule.h"
 #include "size_classes.h"
 
@@ -73,7 +73,7 @@
   std::optional<std::map<AccountName, int>> m_weights;
   AccountRoom m_account_room;
   AccountRates m_rates;
-  AccountUsage m_usage;
+  ReceivedWork m_usage;
   std::set<AccountName> m_above_share;
   std::map<QueueName, SizeClasses> m_sizes;
   std::map<ServiceName, ReturnSchedule> m_returns;
--- a/src/account_usage.cc
+++ b/src/received_work.cc
@@ -1,6 +1,6 @@
 /// @file
 /// Work that client accounts have received lately.
-#include "account_usage.h"
+#include "received_work.h"
 
 #include <algorithm>
 #include <cmath>
@@ -17,17 +17,17 @@
 
 }  // namespace
 
-void AccountUsage::Add(const AccountName& account, double work, Milliseconds now) {
+void ReceivedWork::Add(const AccountName& account, double work, Milliseconds now) {
   Received& received = m_received[account];
   received = {.work = Decayed(received.work, now - received.at) + work, .at = now};
 }
 
-double AccountUsage::ReceivedBy(const AccountName& account, Milliseconds now) const {
+double ReceivedWork::ReceivedBy(const AccountName& account, Milliseconds now) const {
   const auto found = m_received.find(account);
   return found == m_received.end() ? 0 : Decayed(found->second.work, now - found->second.at);
 }
 
-std::set<AccountName> AccountUsage::AboveFairShare(const std::map<AccountName, int>& weights,
+std::set<AccountName> ReceivedWork::AboveFairShare(const std::map<AccountName, int>& weights,
                                                    double mean_work, Milliseconds now) const {
   double work = 0;
   double weight_sum = 0;
--- a/src/account_usage.h
+++ b/src/received_work.h
@@ -10,7 +10,7 @@
 namespace endivewood {
 
 /// Sums of placed work per account, which decay with kUsageDecayMs. Does no I/O.
-class AccountUsage {
+class ReceivedWork {
  public:
   /// @param work core-milliseconds that were placed.
   void Add(const AccountName& account, double work, Milliseconds now);
--- a/tests/account_rate_test.cc
+++ b/tests/account_rate_test.cc
@@ -4,8 +4,8 @@
 
 #include <catch2/catch.hpp>
 
-#include "account_usage.h"
 #include "config_overload.h"
+#include "received_work.h"
 
 namespace endivewood::testing {
 namespace {
@@ -93,7 +93,7 @@
 // Guards against shares by account instead of by weight, and against a small account that counts
 // as above its share because of a single job.
 TEST_CASE("an account is above its share when it got more work than its weight gives it") {
-  AccountUsage usage;
+  ReceivedWork usage;
   const AccountName large("large");
   const AccountName small("small");
   const std::map<AccountName, int> weights{{large, 9}, {small, 1}};
@@ -112,7 +112,7 @@
 
 // Guards against an account that waits behind others while nobody else's work waits.
 TEST_CASE("an account whose work waits alone isn't above its share") {
-  AccountUsage usage;
+  ReceivedWork usage;
   usage.Add(account, 1e9, Milliseconds(0));
   CHECK(usage.AboveFairShare({{account, 1}}, 1000, Milliseconds(0)).empty());
 }
