Rename a constant of client_account_test for clang-tidy

Cause: clang-tidy reported readability-identifier-naming for kNewKey, which isn't constexpr.

Change: new_key_headers.

Measured: compiled (g++ -fsyntax-only); clang-tidy -p build had no other finding in this file, adapter.cc, caller_wire.cc, caller_credential.cc, job_node.cc, job_node_calls.cc and job_scheduler.cc.

--- a/tests/client_account_test.cc
+++ b/tests/client_account_test.cc
@@ -300,7 +300,7 @@
   return catalog;
 }
 
-const std::vector<HttpHeader> kNewKey = {{"Authorization", "Bearer new-key"}};
+const std::vector<HttpHeader> new_key_headers = {{"Authorization", "Bearer new-key"}};
 constexpr int kUnauthorized = 401;
 constexpr int kUnavailable = 503;
 constexpr Milliseconds kLoaded{300};
@@ -313,7 +313,7 @@
   fixture.At(kLoaded, [&] {
     fixture.log.reads = Reads::kWaitsMissChanges;
     fixture.log.Publish("2 new-key");
-    fixture.Ask("q", kNewKey);
+    fixture.Ask("q", new_key_headers);
   });
   fixture.loop.Run();
   CHECK(fixture.status != 0);
@@ -324,7 +324,7 @@
 // Guards against waiting for an answer that is certain.
 TEST_CASE("a key that no account has is answered 401 at once") {
   InstanceFixture fixture(21965, &DecodeKeys);
-  fixture.At(kLoaded, [&] { fixture.Ask("q", kNewKey); });
+  fixture.At(kLoaded, [&] { fixture.Ask("q", new_key_headers); });
   fixture.loop.Run();
   CHECK(fixture.status == kUnauthorized);
   CHECK(fixture.took < Milliseconds(500));
@@ -334,7 +334,7 @@
 TEST_CASE("an unknown key isn't answered 401 while the store doesn't answer") {
   InstanceFixture fixture(21968, &DecodeKeys);
   fixture.At(kLoaded, [&] { fixture.log.reads = Reads::kSilent; });
-  fixture.At(kOutdated, [&] { fixture.Ask("q", kNewKey); });
+  fixture.At(kOutdated, [&] { fixture.Ask("q", new_key_headers); });
   fixture.loop.Run();
   CHECK(fixture.status == kUnavailable);
 }
@@ -348,7 +348,7 @@
   fixture.At(2 * kLoaded, [&] {
     fixture.log.reads = Reads::kWaitsMissChanges;
     fixture.log.Publish("3 other-key");
-    fixture.Ask("q", kNewKey);
+    fixture.Ask("q", new_key_headers);
   });
   fixture.loop.Run();
   CHECK(fixture.status == kUnauthorized);
@@ -371,7 +371,7 @@
                       for (const EventField& field : fields) rejected.push_back(field.value);
                       if (event == Event::kCallAnswered) reason = "forwarded";
                     }});
-  fixture.At(2 * kOutdated, [&] { fixture.Ask("q", kNewKey); });
+  fixture.At(2 * kOutdated, [&] { fixture.Ask("q", new_key_headers); });
   fixture.loop.Run();
   SilenceEvents();
   for (const std::string& value : rejected) CHECK(value.find("new-key") == std::string::npos);
@@ -409,7 +409,8 @@
     fixture.log.reads = Reads::kSilent;
     const Milliseconds sent_at = fixture.clock.Now();
     for (int number = 0; number < kRequests; ++number) {
-      HttpRequest request{.method = "POST", .path = "/q/0123456789abcdef", .headers = kNewKey};
+      HttpRequest request{
+          .method = "POST", .path = "/q/0123456789abcdef", .headers = new_key_headers};
       request.body = std::string(kBodyBytes, 'x');
       fixture.Send(request, [&, sent_at](int status) {
         CHECK(status == kUnavailable);
