--- a/tests/account_limits_test.cc
+++ b/tests/account_limits_test.cc
@@ -215,6 +215,29 @@
   }
 }
 
+// Guards against a share that is given back when a lease has ended while starts are still under
+// way: the upstream may execute them under its next lease, before it gets the stops.
+TEST_CASE("a start that is under way when its lease ends still counts") {
+  AccountLimitsSimulation simulation({.partitions = 2, .limit = 16000});
+  SchedulerSimulation& sim = *simulation.sims[0];
+  simulation.Run(Milliseconds(500));
+  Backlog backlog(&simulation);
+  sim.delayed_order_share = 1;
+  backlog.Add(0, 4, ShortStep(4, 1000, 4000));
+  simulation.Run(Milliseconds(200));
+  sim.delayed_order_share = 0;
+  for (const auto& upstream : sim.upstreams) upstream->reachable = false;
+  backlog.Add(1, 4, ShortStep(4, 1000, 8000));
+  simulation.Run(Milliseconds(5500));
+  for (const auto& [id, session] : sim.holder->sessions()) CHECK(session.hosted.empty());
+  CHECK(simulation.Running(1) == 0);
+  for (const auto& upstream : sim.upstreams) upstream->reachable = true;
+  simulation.Run(Milliseconds(1500));
+  CHECK(simulation.RunningInAll() >= 14000);
+  CHECK(simulation.Running(1) > 0);
+  CHECK(simulation.violations.empty());
+}
+
 // Guards against any start above the limit, whatever fails: lost, repeated, late and reordered
 // messages, holders and ledgers that change, limits that rise and fall.
 TEST_CASE("no start exceeds the limit in seeded plays with failures") {
