Count every active account in fair shares, and own width in predictions

Cause: shares were measured among waiting accounts only, so an account that filled the room alone was never above its share. A size was preferred before any job of it had been refused. The predicted end had no time for a job's own width and for the start of its next step.

Change: all accounts that received work lately count; sizes are judged by jobs expected to be on time; kStepDelayMs; preferred jobs come kPreferredRankMs earlier.

--- a/src/config_overload.h
+++ b/src/config_overload.h
@@ -25,9 +25,13 @@
 /// Part of the fair share, and number of mean jobs, by which an account may exceed its fair share
 /// before its waiting work comes after that of others. Sizes of jobs vary by a factor of two, and
 /// one job of a small account exceeds its share for seconds.
-inline constexpr double kShareMargin = 0.5;
+inline constexpr double kShareMargin = 0.25;
 inline constexpr double kShareMarginJobs = 2.0;
 
+/// Milliseconds between the end of a step and the start of the next one in a full pool. Without it,
+/// jobs whose first step used up their slack are late by this little.
+inline constexpr std::int64_t kStepDelayMs = 100;
+
 /// Part of a waiting job's slack that has to be left in predictions; otherwise surplus comes after
 /// all other work. Predictions rest on callers' estimates and on evenly spread ends of tasks.
 inline constexpr double kContentionMargin = 0.5;
@@ -59,7 +63,10 @@
 /// jobs that end late.
 inline constexpr double kMinClassShare = 0.8;
 /// Cost of refusing a job of a class that is below kMinClassShare, relative to other work.
-inline constexpr double kPreferredCost = 3.0;
+inline constexpr double kPreferredCost = 5.0;
+/// Milliseconds by which such a job comes earlier in the scheduling order. In an overload the work
+/// that is accepted fills about this much time.
+inline constexpr std::int64_t kPreferredRankMs = 1000;
 /// Milliseconds after which an arrival counts by 1/e in the shares of the classes.
 inline constexpr std::int64_t kClassDecayMs = 10000;
 
--- a/src/job_admission.cc
+++ b/src/job_admission.cc
@@ -76,7 +76,11 @@
     }
     const double done =
         (running + ahead.all + static_cast<double>(work.unstarted())) * 1000.0 / capacity;
-    return std::max(wait + static_cast<double>(work.path.count()), done);
+    // The cores for wide steps become free one after the other, and the end of a step is known only
+    // after the next answer of its upstream.
+    const double own = static_cast<double>(work.unstarted()) * 1000.0 / capacity;
+    const double next_step = work.pending > 0 ? static_cast<double>(config::kStepDelayMs) : 0;
+    return std::max(wait + static_cast<double>(work.path.count()) + own + next_step, done);
   }
 
   const ServiceLoad& m_load;
@@ -108,7 +112,8 @@
     ahead.Add(*next);
     with.Add(*next);
   }
-  if (now + admission.response <= work.deadline) {
+  admission.late = now + admission.response > work.deadline;
+  if (!admission.late) {
     admission.accepted = admission.displaced_cost < work.cost;
     if (admission.accepted) return admission;
     // There is room once the waiting jobs have started.
--- a/src/job_admission.h
+++ b/src/job_admission.h
@@ -75,6 +75,7 @@
   bool accepted = true;
   Milliseconds room_in{0};   ///< Refused: time until there is room for the job.
   Milliseconds response{0};  ///< Predicted time until the job's end; 0 with QueueBound.
+  bool late = false;         ///< It can't be on time; with QueueBound always false.
   int displaced = 0;         ///< Jobs that would be late because of this one.
   double displaced_cost = 0;
 };
--- a/src/job_placement.cc
+++ b/src/job_placement.cc
@@ -6,6 +6,7 @@
 #include <tuple>
 
 #include "config.h"
+#include "config_overload.h"
 
 namespace endivewood {
 namespace {
@@ -96,7 +97,8 @@
     return rank;
   }
   // When a peak exceeds the capacity, small jobs bring more results per core-second.
-  const std::int64_t delay = job.preferred ? 0 : work_left / config::kWorkPerRankMs;
+  const std::int64_t delay =
+      job.preferred ? -config::kPreferredRankMs : work_left / config::kWorkPerRankMs;
   rank.order = latest_start.count() + delay;
   return rank;
 }
--- a/src/job_scheduler_admission.cc
+++ b/src/job_scheduler_admission.cc
@@ -83,7 +83,7 @@
             .retry_after = retry_after,
             .reason = "overload"};
   }
-  m_overload.NoteAccepted(*job, now);
+  m_overload.NoteAccepted(*job, admission, now);
   const std::uint64_t change = MarkDirty(JobKey(id), true);
   job->accepted_at_change = change;
   std::vector<EventField> fields = AdmissionFields(*job, load, admission, work.cost);
--- a/src/overload_control.cc
+++ b/src/overload_control.cc
@@ -57,12 +57,12 @@
   }
   if (job->lasting() || spec.occurrences > 0) return;
   SizeClasses& sizes = m_sizes[spec.queue];
-  if (!repeated) sizes.RecordArrival(job->work(), now);
   job->preferred = !job->surplus && sizes.IsUnderserved(job->work());
+  if (!repeated) sizes.RecordArrival(job->work(), now);
 }
 
-void OverloadControl::NoteAccepted(const Job& job, Milliseconds now) {
-  if (!by_cost() || job.lasting() || job.spec().occurrences > 0) return;
+void OverloadControl::NoteAccepted(const Job& job, const Admission& admission, Milliseconds now) {
+  if (!by_cost() || admission.late || job.lasting() || job.spec().occurrences > 0) return;
   m_sizes[job.spec().queue].RecordAccepted(job.work(), now);
 }
 
@@ -87,6 +87,10 @@
   if (!by_cost() || !m_weights) return;
   std::map<AccountName, int> weights;
   for (const AccountName& account : waiting) weights.emplace(account, WeightOf(account));
+  // An account whose work doesn't wait because it is small counts with its share, too.
+  for (const auto& [account, weight] : *m_weights) {
+    if (m_usage.ReceivedBy(account, now) > 0) weights.emplace(account, weight);
+  }
   double mean_work = 0;
   for (const auto& [queue, sizes] : m_sizes) mean_work = std::max(mean_work, sizes.mean_work());
   m_above_share = m_usage.AboveFairShare(weights, mean_work, now);
--- a/src/overload_control.h
+++ b/src/overload_control.h
@@ -41,7 +41,8 @@
   /// Counts a submitted job and sets its flags.
   /// @param repeated whether it was refused before.
   void Classify(Job* job, bool repeated, Milliseconds now);
-  void NoteAccepted(const Job& job, Milliseconds now);
+  /// Counts an accepted job that is expected to be on time.
+  void NoteAccepted(const Job& job, const Admission& admission, Milliseconds now);
   /// @returns after which time the caller should return.
   Milliseconds Refuse(const Job& job, const ServiceLoad& load, const Admission& admission,
                       Milliseconds now);
