Prefer upstreams that haven't failed or been slow lately

Each upstream's failed runs, run times beside the learned durations, and returns after missing answers are kept with a half-life of 15 s. They rank it good, doubtful or bad beside the median of its service; the rank comes after failed_here in the placement cost.

--- a/src/config_stragglers.h
+++ b/src/config_stragglers.h
@@ -72,4 +72,29 @@
 /// Milliseconds between two searches for tasks to copy. A search visits all running tasks.
 inline constexpr std::int64_t kCopyCheckMs = 200;
 
+/// Milliseconds after which an upstream's run counts half. Upstreams that fail or are slow do so
+/// for some seconds to minutes; a longer memory would keep those that have recovered idle.
+inline constexpr std::int64_t kHistoryHalfLifeMs = 15000;
+
+/// Weight in runs of the assumption that an upstream is sound.
+inline constexpr double kHistoryPriorRuns = 4;
+
+/// Largest logarithm of duration / expected duration that one run counts (a factor of 3), so that
+/// one of the rare tasks that take seven times as long doesn't make its upstream look slow.
+inline constexpr double kMaxRunSlowness = 1.1;
+
+/// Share of failed runs above that of the other upstreams that makes one doubtful, or bad. With the
+/// prior, 2 failures of 6 runs make it doubtful, and 5 of 6 bad.
+inline constexpr double kDoubtfulFailedShare = 0.15;
+inline constexpr double kBadFailedShare = 0.4;
+
+/// Mean logarithm of duration / expected duration above that of the other upstreams that makes one
+/// doubtful, or bad (factors of 1.35 and 2).
+inline constexpr double kDoubtfulSlowness = 0.3;
+inline constexpr double kBadSlowness = 0.7;
+
+/// Milliseconds for which an upstream that didn't answer is doubtful after it answers again. One
+/// that flaps goes away again within seconds.
+inline constexpr std::int64_t kReturnDoubtMs = 5000;
+
 }  // namespace endivewood::config
--- a/src/job_placement.cc
+++ b/src/job_placement.cc
@@ -31,7 +31,7 @@
 }
 
 /// Placement cost by decreasing weight; the smallest tuple wins.
-using PlacementCost = std::tuple<int, int, int, std::int64_t>;
+using PlacementCost = std::tuple<int, Standing, int, int, std::int64_t>;
 
 PlacementCost CostOf(const UpstreamCandidate& candidate, const WaitingStep& waiting,
                      const TaskState& task) {
@@ -43,7 +43,7 @@
                           (step.target_latency > Milliseconds{0} && candidate.hosts_best_effort);
   const bool data_in_other_rack = step.data_rack.valid() && step.data_rack != entry.rack;
   const std::int64_t free = candidate.free.cpu_millicores;
-  return {failed_here ? 1 : 0, data_in_other_rack ? 1 : 0, interferes ? 1 : 0,
+  return {failed_here ? 1 : 0, candidate.standing, data_in_other_rack ? 1 : 0, interferes ? 1 : 0,
           step.lasting ? -free : free};
 }
 
@@ -64,6 +64,25 @@
           .trial_only = trial_only};
 }
 
+/// Sets the candidates' standing. If all upstreams of a service fail or are slow, none is
+/// preferred.
+void RankStandings(std::vector<UpstreamCandidate>* candidates, Milliseconds now) {
+  const auto is_clean = [&](const UpstreamCandidate& each) {
+    return each.session->history.IsClean(now);
+  };
+  if (std::all_of(candidates->begin(), candidates->end(), is_clean)) return;
+  std::map<ServiceName, std::vector<const UpstreamHistory*>> histories;
+  for (const UpstreamCandidate& candidate : *candidates) {
+    histories[candidate.session->entry.service].push_back(&candidate.session->history);
+  }
+  std::map<ServiceName, PoolNorm> norms;
+  for (const auto& [service, of_service] : histories) norms[service] = NormOf(of_service, now);
+  for (UpstreamCandidate& candidate : *candidates) {
+    const PoolNorm& norm = norms[candidate.session->entry.service];
+    candidate.standing = candidate.session->history.StandingAt(norm, now);
+  }
+}
+
 /// Estimates when a short run ends: by its progress if that is known, otherwise by its estimate.
 /// The longer a run has exceeded its estimate, the later its end.
 Milliseconds ExpectedEnd(const HostedRun& run, Milliseconds now) {
@@ -132,6 +151,7 @@
     if (suspect && session.HasUndecidedTrial()) continue;
     candidates.push_back(CandidateOf(&session, suspect));
   }
+  RankStandings(&candidates, now);
   return candidates;
 }
 
--- a/src/job_placement.h
+++ b/src/job_placement.h
@@ -28,7 +28,8 @@
   Capacity free;                         ///< See UpstreamSession::Free.
   bool hosts_latency_sensitive = false;  ///< Tasks with a target latency.
   bool hosts_best_effort = false;  ///< Tasks that use leftover capacity (StepSpec::best_effort).
-  bool trial_only = false;         ///< Gets one task at a time until one succeeds.
+  Standing standing = Standing::kGood;  ///< Beside the other candidates of its service.
+  bool trial_only = false;              ///< Gets one task at a time until one succeeds.
 };
 
 /// The usable upstreams of one service during one placement pass. A peak leaves hundreds of steps
@@ -77,9 +78,10 @@
 bool Fits(const UpstreamCandidate& candidate, const WaitingStep& waiting, const TaskKey& key);
 
 /// Chooses the best upstream for one task. Criteria in this order: the task hasn't failed there; it
-/// is in the rack of the task's data; best-effort and latency-sensitive tasks stay apart. Among
-/// equals, lasting tasks get the upstream with the most free CPU and other tasks the one with the
-/// least, so that whole instances stay free for wide steps and for moves between pools.
+/// has a good standing; it is in the rack of the task's data; best-effort and latency-sensitive
+/// tasks stay apart. Among equals, lasting tasks get the upstream with the most free CPU and other
+/// tasks the one with the least, so that whole instances stay free for wide steps and for moves
+/// between pools.
 /// @returns nullptr if no upstream fits.
 UpstreamCandidate* ChooseCandidate(std::vector<UpstreamCandidate>* candidates,
                                    const WaitingStep& waiting, const TaskKey& key);
--- a/src/job_scheduler.h
+++ b/src/job_scheduler.h
@@ -212,8 +212,9 @@
   // job_scheduler_durations.cc
   /// @returns the expected duration of one task by step.
   std::vector<Milliseconds> DurationsOf(const JobSpec& spec) const;
-  /// Learns from a run that ended as done, unless a known cause lengthened or shortened it.
-  void LearnDuration(const UpstreamSession& session, const HostedRun& run, const TaskKey& task,
+  /// Learns from a run that ended as done, or at least ran so long, unless a known cause lengthened
+  /// or shortened it.
+  void LearnDuration(UpstreamSession* session, const HostedRun& run, const TaskKey& task,
                      Milliseconds now);
 
   // job_scheduler_copies.cc
--- a/src/job_scheduler_copies.cc
+++ b/src/job_scheduler_copies.cc
@@ -55,7 +55,7 @@
             {"upstream", other.upstream},
             {"saved_ms", ExpectedLeft(ElapsedOf(slower, now), slower.estimate, slower.percent)}});
   // The stopped run is known to take longer. Without it, the learned high durations would sink.
-  if (copy_won) LearnDuration(*session, slower, key, now);
+  if (copy_won) LearnDuration(session, slower, key, now);
   if (slower.state != HostedState::kStopping) Stop(session, key, &run->second, now);
 }
 
--- a/src/job_scheduler_run_lists.cc
+++ b/src/job_scheduler_run_lists.cc
@@ -79,7 +79,8 @@
   if (row.end == RunEnd::kFailed) {
     HandleFailure(session, &job, task, row, now);
   } else if (row.end == RunEnd::kDone && !before_lapse && !lasting) {
-    if (run) LearnDuration(*session, *run, row.task, now);
+    if (run) LearnDuration(session, *run, row.task, now);
+    session->history.NoteEnd(false, now);
     session->ForgetFailures();
     job.MarkDone(row.task);
     StopOtherRun(row.task, is_copy, now);
@@ -99,7 +100,10 @@
   const bool failed_before = !task->failed.empty();
   task->avoided.push_back(session->entry.id);
   // A task that has failed before is no evidence against this upstream.
-  if (!failed_before) session->CountFailure(row.task.job, job->AnyTaskDone(row.task), now);
+  if (!failed_before) {
+    session->history.NoteEnd(true, now);
+    session->CountFailure(row.task.job, job->AnyTaskDone(row.task), now);
+  }
   if (session->IsSuspect()) {
     session->avoid_until = now + Milliseconds(config::kUpstreamAvoidMs);
     LogEvent(Event::kUpstreamAvoided,
--- a/src/job_scheduler_upstreams.cc
+++ b/src/job_scheduler_upstreams.cc
@@ -295,6 +295,7 @@
   session->clock.Observe(reply.clock, now);
   session->last_answer = now;
   session->ends_timely = session->unanswered == 0 && !session->more_ended && !reply.more_ended;
+  if (session->unanswered > 1) session->history.NoteReturn(now);
   session->unanswered = 0;
   const bool fenced_now = !session->fenced;
   if (fenced_now) {
--- a/src/upstream_session.h
+++ b/src/upstream_session.h
@@ -8,6 +8,7 @@
 #include <set>
 
 #include "jobs.h"
+#include "upstream_history.h"
 
 namespace endivewood {
 
@@ -184,6 +185,7 @@
   Milliseconds next_renew{0};
   Milliseconds last_answer{0};
   int unanswered = 0;           ///< Consecutive orders without an answer.
+  UpstreamHistory history;      ///< Of all incarnations.
   Milliseconds avoid_until{0};  ///< No task is placed here before this time.
   /// Failed and stalled runs since the last one that succeeded, up to kFailedStreakLimit; see
   /// CountFailure.
--- a/tests/task_copies_test.cc
+++ b/tests/task_copies_test.cc
@@ -329,6 +329,8 @@
   copying.simulation.delayed_order_share = 1;
   copying.simulation.Run(Milliseconds(1500));
   copying.simulation.delayed_order_share = 0;
+  REQUIRE(copying.Task() != nullptr);
+  CHECK(copying.Task()->copy);
   REQUIRE(
       copying.simulation.RunUntil([&] { return copying.Complete("slow"); }, Milliseconds(8000)));
   copying.simulation.Run(Milliseconds(15000));
