--- a/src/upstream_session.h
+++ b/src/upstream_session.h
@@ -10,6 +10,7 @@
 
 #include "client_account.h"
 #include "jobs.h"
+#include "upstream_history.h"
 
 namespace endivewood {
 
@@ -207,6 +208,7 @@
   Milliseconds next_renew{0};
   Milliseconds last_answer{0};
   int unanswered = 0;           ///< Consecutive orders without an answer.
+  UpstreamHistory history;      ///< Of all incarnations.
   Milliseconds avoid_until{0};  ///< No task is placed here before this time.
   /// Failed and stalled runs since the last one that succeeded, up to kFailedStreakLimit; see
   /// CountFailure.
