--- a/tests/account_limits_test.cc
+++ b/tests/account_limits_test.cc
@@ -129,6 +129,47 @@
   CHECK(simulation.FirstViolation().empty());
 }
 
+// Guards against a new holder that starts work within its share while the former one's runs go on
+// at upstreams that don't answer it yet.
+TEST_CASE("a new holder counts what may run at upstreams that it can't reach") {
+  AccountLimitsSimulation simulation({.partitions = 1, .limit = 12000, .upstreams = 2});
+  SchedulerSimulation& sim = *simulation.sims[0];
+  simulation.Run(Milliseconds(500));
+  Backlog backlog(&simulation);
+  backlog.Add(0, 3, ShortStep(4, 1000, 2500));
+  simulation.Run(Milliseconds(300));
+  REQUIRE(simulation.Running(0) == 12000);
+  simulation.StartNewHolder(0);
+  sim.old_holder.reset();
+  sim.upstreams[0]->reachable = false;
+  const std::size_t unreachable = sim.upstreams[0]->running.size();
+  JobSpec spec = sim.Spec("more", {ShortStep(3, 1000, 500)});
+  spec.account = limited_account;
+  REQUIRE(sim.Submit(spec, test_policy).kind == SubmitResult::Kind::kStored);
+  simulation.Run(Milliseconds(1500));
+  CHECK(sim.upstreams[0]->running.size() == unreachable);
+  CHECK(simulation.Running(0) == 12000);
+  CHECK(simulation.FirstViolation().empty());
+}
+
+// Guards against starts within one service's share while the work of the others still exceeds the
+// lowered limit.
+TEST_CASE("nothing starts before what runs in all services is below a lowered limit") {
+  AccountLimitsSimulation simulation({.partitions = 2, .limit = 12000});
+  simulation.Run(Milliseconds(500));
+  Backlog backlog(&simulation);
+  backlog.Add(0, 1, ShortStep(6, 1000, 6000));
+  backlog.Add(1, 30, ShortStep(2, 1000, 400));
+  simulation.Run(Milliseconds(1000));
+  REQUIRE(simulation.Running(0) == 6000);
+  REQUIRE(simulation.Running(1) >= 5000);
+  simulation.SetLimit(7000, Milliseconds(200));
+  simulation.Run(Milliseconds(2200));
+  CHECK(simulation.RunningInAll() <= 7000);
+  CHECK(simulation.Running(1) > 0);
+  CHECK(simulation.FirstViolation().empty());
+}
+
 // Guards against shares that the former ledger's holder hands out of what it remembers.
 TEST_CASE("the ledger's holder is paused, replaced and awake again") {
   for (unsigned seed = 1; seed <= 10; ++seed) {
