--- a/src/account_shares.cc
+++ b/src/account_shares.cc
@@ -63,7 +63,7 @@
                                       {"used_millicores", in_use.cpu_millicores}});
     }
     state.limit = account.limit;
-    m_accounts.emplace(account.name, std::move(state));
+    m_accounts.emplace(account.name, state);
   }
   ScheduleCall();
 }
