--- a/src/job_scheduler_upstreams.cc
+++ b/src/job_scheduler_upstreams.cc
@@ -73,8 +73,8 @@
   for (auto it = m_sessions.begin(); it != m_sessions.end();) {
     UpstreamSession& session = it->second;
     session.listed = listed.count(it->first) > 0;
-    const bool idle = session.hosted.empty() && !session.renew_in_flight &&
-                      !session.HasUnsettledStart();
+    const bool idle =
+        session.hosted.empty() && !session.renew_in_flight && !session.HasUnsettledStart();
     const bool lists_complete = session.hosted_complete && !session.more_ended;
     const bool no_unknown_runs = lists_complete || session.LatestLeaseEnd() <= now;
     if (session.listed || !idle || !no_unknown_runs) {
