--- a/tests/job_admission_test.cc
+++ b/tests/job_admission_test.cc
@@ -260,7 +260,7 @@
   SizeClasses sizes;
   for (int round = 0; round < 2; ++round) {
     for (int number = 0; number < 100; ++number) {
-      const int size = 1 + 37 * number % 100;
+      const std::int64_t size = 1 + 37 * number % 100;
       sizes.RecordArrival(1000 * size, kNow);
       if (size <= 60) sizes.RecordAccepted(1000 * size, kNow);
     }
--- a/tests/overload_test.cc
+++ b/tests/overload_test.cc
@@ -9,8 +9,8 @@
 namespace endivewood::testing {
 namespace {
 
-const auto kAll = [](const PlayedJob& /*job*/) { return true; };
-const auto kOwed = [](const PlayedJob& job) { return job.owed; };
+constexpr auto kAll = [](const PlayedJob& /*job*/) { return true; };
+constexpr auto kOwed = [](const PlayedJob& job) { return job.owed; };
 
 struct PlayResult {
   double all = 0;
