Show that one job of the largest body stops its service

Cause: a job's record may be longer than the store takes, and an append that the store refuses is repeated without end.

--- a/review/standins-2/bed.py
+++ b/review/standins-2/bed.py
@@ -29,6 +29,9 @@
     "thaw_ms": 300, "pace_ms": 100, "harm_ms": 4000}
 
 
+RECORD_BYTES, BODY_BYTES = 262144, 262144
+
+
 def now():
     return time.monotonic()
 
@@ -81,7 +84,7 @@
     async def run():
         reader, writer = await asyncio.open_connection(ip, port)
         try:
-            content = b"" if body is None else json.dumps(body).encode()
+            content = b"" if body is None else json.dumps(body, separators=(",", ":")).encode()
             lines = ["%s %s HTTP/1.1" % (method, path), "Content-Length: %d" % len(content),
                      "Content-Type: application/json"]
             lines += ["%s: %s" % pair for pair in (headers or {}).items()]
@@ -165,6 +168,8 @@
             size = struct.unpack_from(">I", body, at)[0]
             contents.append(body[at + 4:at + 4 + size])
             at += 4 + size
+        if any(len(content) > RECORD_BYTES for content in contents):
+            return 400, {}
         async with partition.lock:
             await asyncio.sleep(0.003)
             end = len(partition.records)
@@ -596,7 +601,7 @@
         lines += ["%s = %s" % (name, json.dumps(value)) for name, value in BOUNDS.items()]
         lines += ["[platform]", 'addr = "%s:%d"' % (self.ip(200), self.store_port), 'form = "log"',
                   "writes_per_s = 800", "reads_per_s = 2000", "parts = 16", "append_ms = 3.0",
-                  "part_mb_s = 20.0", "read_mb_s = 80.0", "record_bytes = 262144",
+                  "part_mb_s = 20.0", "read_mb_s = 80.0", "record_bytes = %d" % RECORD_BYTES,
                   "call_bytes = 2097152", "keep_s = 300", "part_mb = 200", "ttl_min_ms = 1000",
                   "[cloud]", 'addr = "%s:%d"' % (self.ip(201), self.cloud_port),
                   "rate_per_s = 64.0", "duties = []", "duty_per_s = 64.0"]
@@ -635,14 +640,14 @@
             "services": [{"name": name, "health_path": "/health", "max_conns": 64, "protocol": "h1",
                           "tls": False, "admission_check": False, "spare": False}
                          for name in self.services],
-            "limits": {"header_bytes": 16384, "body_bytes": 262144, "header_timeout_ms": 3000,
+            "limits": {"header_bytes": 16384, "body_bytes": BODY_BYTES, "header_timeout_ms": 3000,
                        "idle_ms": 15000}})
 
     async def request(self, node, method, path, body=None, deadline_ms=3000):
         answer = await call(self.ip(node + 1), self.front, method, path, body,
                             {"Host": "jobs.example", "Deadline-Ms": str(deadline_ms)},
                             deadline_ms / 1000)
-        text = "no answer" if answer is None else "%d %s" % (answer[0], answer[1].decode())
+        text = "no answer" if answer is None else "%d %s" % (answer[0], answer[1].decode()[:80])
         self.note("client: %s %s at %s: %s" % (method, path, self.names[node], text))
         return answer
 
