--- a/review/standins-2/bed.py
+++ b/review/standins-2/bed.py
@@ -8,6 +8,7 @@
 import os
 import random
 import re
+import shutil
 import signal
 import socket
 import struct
@@ -685,6 +686,7 @@
             if executor.up:
                 executor.crash()
         self.record.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def free_ports(count, ip):
