--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,56 +1,74 @@
-"""One client sends a job whose body is as long as the configuration allows."""
+"""The store is down for some seconds, a few times, and runs of hopeless jobs fail meanwhile."""
 import asyncio
-import json
 import os
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "standins-2"))
-from bed import BODY_BYTES, BOUNDS, main, now  # noqa: E402
+from bed import main, now  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-PREFIX, JOBS = "/intake/", 5
-SPEC_BYTES = 4000  # The longest spec.
-STEPS = [{"count": 1, "cpu": 1000, "mem_mb": 256, "est_ms": 60000, "work_ms": 60000}]
+PREFIX, ATTEMPTS, DOWN_S, CYCLES = "/intake/", 2, 4.5, 4
+HOPELESS, SOUND = 4, 76  # A share of 0.05 can never be done.
+# One of these fits an executor at a time.
+FAILS = [{"count": 1, "cpu": 20000, "mem_mb": 1024, "est_ms": 3000, "work_ms": 3000,
+          "hopeless": True}]
+WORKS = [{"count": 1, "cpu": 1000, "mem_mb": 256, "est_ms": 300, "work_ms": 300}]
 
 
-async def cancel(bed, node, job):
-    """Returns whether a cancel is acknowledged within ack_ms."""
-    until = now() + BOUNDS["ack_ms"] / 1000
-    while now() < until:
-        answer = await bed.request(node, "DELETE", PREFIX + job)
-        if answer is not None and answer[0] in (200, 410):
-            return True
-        await asyncio.sleep(0.2)
-    return False
+async def case(bed):
+    starts, fails = [], []  # [task, run, time], and [task, run, time, taken note of].
 
+    def on_start(executor, key, run, values):
+        starts.append((key, run.number, now()))
 
-async def case(bed):
-    await bed.start([("depot", "r%d" % (number // 2)) for number in range(4)])
-    bed.configure([("r-intake", PREFIX, "depot", 4)])
+    def on_end(executor, key, run, how):
+        if how == "failed":
+            fails.append([key, run.number, now(), False])
+
+    def on_ack(executor, row):
+        number, key, run, how, _ = row
+        if how == "failed" and executor.lapsed_at < executor.ended_at[number]:
+            for fail in fails:
+                if fail[:2] == [key, run]:
+                    fail[3] = True
+                    bed.note("executor %s: the end of %s run %d is taken note of" % (
+                        executor.name, key, run))
+
+    bed.on_start, bed.on_end, bed.on_ack = on_start, on_end, on_ack
+    for number in range(8):
+        await bed.start([("depot", "r%d" % (number // 2))]) if number == 0 else \
+            await bed.add_executor("depot", "r%d" % (number // 2))
+        await asyncio.sleep(0.19)  # Their heartbeats come at different times.
+    bed.configure([("r-intake", PREFIX, "depot", ATTEMPTS)])
     if not await bed.ready_nodes():
         return False
-    jobs = ["5c0e7a21d94b36%02x" % number for number in range(JOBS)]
-    for job in jobs:
-        if not await bed.submit(0, PREFIX, job, STEPS):
-            return False
-    await asyncio.sleep(1)
-    if TROUBLE:
-        step = {"count": 1, "cpu": 1000, "est_ms": 900, "image": ""}
-        body = {"spec": SPEC_BYTES * "s", "steps": [step]}
-        step["image"] = "i" * (BODY_BYTES - len(json.dumps(body, separators=(",", ":"))))
-        await bed.request(1, "POST", PREFIX + "5c0e7a21d94b36ff", body)
-    # Everything is calm for as long as the rule asks for, and longer.
-    await asyncio.sleep(BOUNDS["stable_window_ms"] / 1000)
-    acknowledged = await asyncio.gather(*(cancel(bed, number % 3, job)
-                                          for number, job in enumerate(jobs)))
-    missing = acknowledged.count(False)
-    if missing >= 3 and missing > len(jobs) / 10:
-        bed.break_rule("Acks: %d of %d cancels of accepted jobs have no 2xx or 410 after ack_ms" % (
-            missing, len(jobs)))
-    answer = await bed.submit(2, PREFIX, "5c0e7a21d94b3680", STEPS)
-    bed.note("another job is %s" % ("accepted" if answer else "never accepted, in 20 attempts"))
-    return True
+    for cycle in range(CYCLES):
+        for number in range(SOUND):
+            job = "5c0e7a21d94b1%d%02d" % (cycle, number)
+            if not await bed.submit(number % 3, PREFIX, job, WORKS):
+                return False
+        await asyncio.sleep(1)
+        jobs = ["5c0e7a21d94b2%d%02d" % (cycle, number) for number in range(HOPELESS)]
+        for job in jobs:
+            if not await bed.submit(0, PREFIX, job, FAILS):
+                return False
+        await asyncio.sleep(1)
+        if TROUBLE:
+            bed.note("the store is down")
+            bed.store.down = True
+        await asyncio.sleep(DOWN_S)
+        if TROUBLE:
+            bed.note("the store is back")
+            bed.end_store_outage()
+        await asyncio.sleep(12)
+        for job in jobs:
+            await bed.request(1, "GET", PREFIX + job)
+    for key, run, started in starts:
+        failed = [fail for fail in fails if fail[0] == key and fail[3] and fail[2] < started]
+        if len(failed) >= ATTEMPTS:
+            bed.break_rule("BUDGET: %s run %d starts after %d failed runs" % (key, run, len(failed)))
+    return len(fails) >= HOPELESS
 
 
 main(case, os.path.join(HERE, "record.txt"), nodes=3, services=["depot"], subnet=(86, 9))
