Complete a wave only by a list requested after it

Cause: an instance of a wave that the planner's list of instances lacked counted as one that had left the fleet, however old the list was. Ruled out: a lost or repeated report (the status is written once), and a list with missing entries (the service answered none).

Change: lists are numbered when their first page is requested. A wave keeps the number of lists that were requested before it was read, and is complete only by a later one. The log line of the end of a wave names the list and the instances that count as gone.

Why it works: a list that is requested after the wave was read contains every instance that the operators could name, unless it has left.

--- a/src/maintenance_planner.cc
+++ b/src/maintenance_planner.cc
@@ -64,6 +64,7 @@
     Wave& wave = entry->second;
     wave.request = request;
     if (!added) continue;
+    wave.lists_before = m_lists_requested;
     wave.first_seen_at = FirstSeenAt(request.number, now);
     for (const InstanceName& instance : request.instances) {
       if (m_stored_keys.count(MaintainedKey(request.number, instance)) > 0)
@@ -130,6 +131,7 @@
       return;
     }
     m_machines = std::exchange(m_partial_list, {});
+    m_list_number = m_lists_requested;
     m_listed = true;
     ForgetUnlistedUpstreams();
     RecordConfiguredCapacity();
@@ -169,6 +171,7 @@
   if (!has_incomplete_wave && !m_options.move_instances) return;
   if (!m_list_in_flight && m_next_list <= now) {
     m_list_in_flight = true;
+    ++m_lists_requested;
     m_partial_list.clear();
     m_machine_calls.emplace_back(ListInstances{});
   }
@@ -319,7 +322,7 @@
   for (const InstanceName& instance : wave.request.instances) {
     if (wave.done.count(instance) > 0) continue;
     const auto machine = m_machines.find(instance);
-    // Instances that are no longer listed have left the fleet and need no maintenance.
+    // It has left the fleet, or the list is older than the instance.
     if (machine == m_machines.end()) continue;
     WaveCandidate candidate{.machine = &machine->second,
                             .needs_release = NeedsRelease(machine->second)};
@@ -353,10 +356,15 @@
   }
   const std::vector<WaveCandidate> remaining = CandidatesOf(*wave);
   if (remaining.empty()) {
+    if (!ListShowsDepartures(*wave)) return;
     wave->complete = true;
     m_reports.push_back({.number = wave->request.number, .complete = true});
-    LogEvent(Event::kWaveProgress,
-             {{"wave", wave->request.number}, {"done", wave->done.size()}, {"complete", true}});
+    LogEvent(Event::kWaveProgress, {{"wave", wave->request.number},
+                                    {"done", wave->done.size()},
+                                    {"left", wave->request.instances.size() - wave->done.size()},
+                                    {"list", m_list_number},
+                                    {"lists_before", wave->lists_before},
+                                    {"complete", true}});
     return;
   }
   const auto releases_for_wave = static_cast<int>(
--- a/src/maintenance_planner.h
+++ b/src/maintenance_planner.h
@@ -73,6 +73,9 @@
     Milliseconds first_seen_at{0};
     bool reported_running = false;
     bool complete = false;
+    /// Lists of instances that were requested before the wave was seen. They may lack instances
+    /// that have joined since.
+    std::uint64_t lists_before = 0;
   };
   /// An instance whose scheduler has been asked to release it: to end or move its work.
   struct PendingRelease {
@@ -121,6 +124,8 @@
   std::map<UpstreamId, Milliseconds> ReleaseTimes() const;
   int ConcurrencyOf(const Wave& wave, int remaining, Milliseconds now) const;
   std::vector<WaveCandidate> CandidatesOf(const Wave& wave) const;
+  /// @returns whether an instance of the wave that isn't in the list has left the fleet.
+  bool ListShowsDepartures(const Wave& wave) const { return m_list_number > wave.lists_before; }
   bool MayRelease(const WaveCandidate& candidate, bool below_concurrency,
                   const std::map<ServiceName, int>& pool_sizes,
                   const std::map<ServiceName, int>& releases) const;
@@ -138,6 +143,8 @@
   std::map<InstanceName, MachineEntry> m_partial_list;  ///< Pages of a list in progress.
   bool m_listed = false;
   bool m_list_in_flight = false;
+  std::uint64_t m_lists_requested = 0;
+  std::uint64_t m_list_number = 0;  ///< Which of the requested lists `m_machines` is; from 1.
   Milliseconds m_next_list{0};
   Milliseconds m_next_demand{0};
   std::map<InstanceName, PendingRelease> m_pending_releases;
--- a/tests/maintenance_planner_test.cc
+++ b/tests/maintenance_planner_test.cc
@@ -31,6 +31,27 @@
     return wave;
   }
 
+  /// Adds instances and returns a wave of them.
+  MaintenanceWave WaveOfAdded(std::uint64_t number, int instances) {
+    MaintenanceWave wave{
+        .number = number, .deadline = Milliseconds(20000), .max_at_once = instances};
+    for (int i = 0; i < instances; ++i) {
+      const std::string name = "added" + std::to_string(machines.size());
+      machines.push_back({.instance = InstanceName(name),
+                          .pool = test_service,
+                          .state = MachineState::kUp,
+                          .upstream = UpstreamId("u-" + name),
+                          .capacity = {.cpu_millicores = 32000}});
+      wave.instances.push_back(machines.back().instance);
+    }
+    return wave;
+  }
+
+  bool ReportedComplete(std::uint64_t wave) const {
+    return std::count(reports.begin(), reports.end(),
+                      WaveReport{.number = wave, .complete = true}) > 0;
+  }
+
   /// Advances time by 50 ms, runs the planner once, and answers its calls.
   void Tick(MaintenancePlanner* planner) {
     now += Milliseconds(50);
@@ -70,12 +91,17 @@
   std::map<UpstreamId, Milliseconds> released_from;
   std::optional<Milliseconds> slow_since;
   bool may_order = true;
+  bool machine_service_available = true;
   InstanceOrders orders{Milliseconds(3000)};
   int max_down = 0;
   Milliseconds now{0};
 
  private:
   void Answer(MaintenancePlanner* planner, const MachineCall& call) {
+    if (!machine_service_available) {
+      planner->OnMachines(call, {.status = MachineStatus::kRefused}, now);
+      return;
+    }
     MachineReply reply{.status = MachineStatus::kOk, .machines = machines, .next_page = ""};
     if (const auto* maintain = std::get_if<MaintainInstance>(&call)) {
       for (std::size_t i = 0; i < machines.size(); ++i) {
@@ -120,6 +146,67 @@
   CHECK(fleet.reports[1].complete);
 }
 
+// Guards against a wave that is reported as complete from a list that was read before it, so that
+// instances which had joined meanwhile never get their maintenance.
+TEST_CASE(
+    "a wave of instances that joined while the machine service was unavailable is carried out") {
+  FakeFleet fleet(4);
+  MaintenancePlanner planner(Options(), {});
+  planner.SetCatalog(Catalog());
+  planner.SetWaves({fleet.Wave(4)}, fleet.now);
+  while (fleet.now < Milliseconds(10000)) fleet.Tick(&planner);
+  REQUIRE(fleet.ReportedComplete(1));
+  fleet.machine_service_available = false;
+  const MaintenanceWave added = fleet.WaveOfAdded(2, 2);
+  planner.SetWaves({added}, fleet.now);
+  while (fleet.now < Milliseconds(15000)) fleet.Tick(&planner);
+  CHECK_FALSE(fleet.ReportedComplete(2));
+  fleet.machine_service_available = true;
+  while (fleet.now < Milliseconds(25000)) fleet.Tick(&planner);
+  CHECK(fleet.maintained.size() == 6);
+  CHECK(fleet.ReportedComplete(2));
+}
+
+// Guards against a wave that is reported as complete from a list whose first page was requested
+// before it and answered after it.
+TEST_CASE("a list that was requested before a wave doesn't show that its instances have left") {
+  FakeFleet fleet(1);
+  const std::vector<MachineEntry> before = fleet.machines;
+  MaintenancePlannerOptions options = Options();
+  options.move_instances = true;
+  MaintenancePlanner planner(options, {});
+  planner.SetCatalog(Catalog());
+  planner.Run(fleet.now, true, fleet.orders);
+  const std::vector<MachineCall> calls = planner.TakeMachineCalls();
+  REQUIRE(calls.size() == 1);
+  planner.SetWaves({fleet.WaveOfAdded(2, 1)}, fleet.now);
+  const MachineReply first_page{
+      .status = MachineStatus::kOk, .machines = before, .next_page = "next"};
+  planner.OnMachines(calls[0], first_page, fleet.now);
+  const std::vector<MachineCall> next = planner.TakeMachineCalls();
+  REQUIRE(next.size() == 1);
+  planner.OnMachines(next[0], {.status = MachineStatus::kOk, .machines = {}, .next_page = ""},
+                     fleet.now);
+  planner.Run(fleet.now, true, fleet.orders);
+  for (const WaveReport& report : planner.TakeReports()) CHECK_FALSE(report.complete);
+  while (fleet.now < Milliseconds(10000)) fleet.Tick(&planner);
+  CHECK(fleet.maintained == std::set<InstanceName>{InstanceName("added1")});
+  CHECK(fleet.ReportedComplete(2));
+}
+
+// Guards against a wave that stays incomplete for instances that no longer exist.
+TEST_CASE("a wave of instances that have left is complete") {
+  FakeFleet fleet(3);
+  const MaintenanceWave wave = fleet.Wave(3);
+  fleet.machines.pop_back();
+  MaintenancePlanner planner(Options(), {});
+  planner.SetCatalog(Catalog());
+  planner.SetWaves({wave}, fleet.now);
+  while (fleet.now < Milliseconds(10000)) fleet.Tick(&planner);
+  CHECK(fleet.maintained.size() == 2);
+  CHECK(fleet.ReportedComplete(1));
+}
+
 // Guards against taking down an instance that still runs tasks.
 TEST_CASE("an instance that its scheduler hasn't released stays up") {
   FakeFleet fleet(2);
