--- a/src/events.cc
+++ b/src/events.cc
@@ -133,6 +133,7 @@
       {Event::kPeakEnded, "peak-ended", EventLevel::kInfo},
       {Event::kPoolSize, "pool-size", EventLevel::kInfo},
       {Event::kMoveCancelled, "move-cancelled", EventLevel::kInfo},
+      {Event::kMachineListFailed, "machine-list-failed", EventLevel::kWarning},
   };
   return table;
 }
--- a/src/events.h
+++ b/src/events.h
@@ -155,6 +155,7 @@
   kPeakEnded = 906,
   kPoolSize = 907,
   kMoveCancelled = 908,
+  kMachineListFailed = 909,
 };
 
 /// The name and level of an event.
--- a/src/maintenance_planner.cc
+++ b/src/maintenance_planner.cc
@@ -120,6 +120,8 @@
   if (std::holds_alternative<ListInstances>(call)) {
     m_list_in_flight = false;
     if (reply.status != MachineStatus::kOk) {
+      LogEvent(Event::kMachineListFailed,
+               {{"status", MachineStatusName(reply.status)}, {"list", m_list_number}});
       m_partial_list.clear();
       m_next_list = now + Milliseconds(config::kMachineListIntervalMs);
       return;
--- a/tests/odd_entries_test.cc
+++ b/tests/odd_entries_test.cc
@@ -123,7 +123,7 @@
     CHECK_FALSE(DecodeUpstream(kKey, R"({"service":)" + text + "}"));
     CHECK_FALSE(DecodeCatalog(text));
     CHECK_FALSE(DecodeWave(text));
-    CHECK(DecodeMachineReply(Reply(text)).machines.empty());
+    CHECK(DecodeMachineReply(ListInstances{}, Reply(text)).machines.empty());
     CHECK(DecodeRenewReply(Reply(text)).running.empty());
     CHECK(DecodeStoreReply(ReadNewest{}, Reply(text)).records.empty());
     CHECK_FALSE(DecodeJson(text));
@@ -270,7 +270,7 @@
     DecodeWave(Mutated(R"({"wave":3,"machines":["m"],"deadline_s":40,"max_count":2})", &random));
     DecodeRenewReply(Reply(Mutated(runs, &random)));
     DecodeOrderReply(Reply(Mutated(runs, &random)));
-    DecodeMachineReply(Reply(Mutated(machines, &random)));
+    DecodeMachineReply(ListInstances{}, Reply(Mutated(machines, &random)));
     DecodeStoreReply(ReadNewest{}, Reply(Mutated(newest, &random)));
     DecodeStoreReply(ReadKeyed{}, Reply(Mutated(read, &random)));
     DecodeStoreReply(JoinGroup{},
--- a/tests/platform_wire_test.cc
+++ b/tests/platform_wire_test.cc
@@ -220,6 +220,22 @@
   CHECK(newest.records[0].value == std::string("\x00\xff\x7f v", 5));
 }
 
+// Guards against an answer without a readable list, or with an unreadable token, that counts as a
+// complete list: every instance that it lacks would count as gone.
+TEST_CASE("a list of instances is accepted only if it can be read in full") {
+  const MachineReply complete = DecodeMachineReply(
+      ListInstances{},
+      Reply(200, R"({"machines":[{"machine":"m","pool":"p","state":"up"}],"next_token":null})"));
+  CHECK(complete.status == MachineStatus::kOk);
+  CHECK(complete.machines.size() == 1);
+  CHECK(DecodeMachineReply(ListInstances{}, Reply(200, R"({"machines":[]})")).status ==
+        MachineStatus::kOk);
+  for (const char* body : {"", "{", "{}", "[]", R"({"machines":{}})", R"({"machines":null})",
+                           R"({"machines":[{"machine":"m"}],"next_token":7})"}) {
+    CHECK(DecodeMachineReply(ListInstances{}, Reply(200, body)).status == MachineStatus::kInvalid);
+  }
+}
+
 // Guards against malformed input that ends the process.
 TEST_CASE("mutated input does not crash a decoder") {
   SetEventSink({.enabled = [](EventLevel) { return false; },
@@ -249,7 +265,7 @@
     DecodeWave(text);
     DecodeRenewReply(Reply(200, text));
     DecodeOrderReply(Reply(409, text));
-    DecodeMachineReply(Reply(200, text));
+    DecodeMachineReply(ListInstances{}, Reply(200, text));
     DecodeStoreReply(ReadKeyed{}, Reply(200, text));
     DecodeStoreReply(ReadNewest{}, Reply(200, text));
     DecodeStoreReply(JoinGroup{}, Reply(200, text));
