Find the jobs of a queue that had another service

What callers saw: a version of the configuration sends a queue to another service.

Cause: the partition that keeps a job was chosen by the service that the queue has at the time of the call; nothing led to the partition of the service that it had when the job was accepted. Ruled out: an outdated configuration (all instances have version 2) and a holder that isn't the current one (the 410 comes from the confirmed holder of the new service's partition).

Change: a holder stores which services have taken jobs of a queue before it accepts the queue's first job, and reads the others' records after that. It asks the holders of those services before it accepts a job, or says that there is none; the call goes to the one that has it. FleetCatalog::QueueOfName takes the place of a search in VerifyCredential.

Why it works: of two holders that register at the same time at least one sees the other, and asks it, by which the other learns of it; of two that ask each other about one job the lower partition goes first. The records outlast all processes.

The records aren't deleted.

--- a/src/caller_credential.cc
+++ b/src/caller_credential.cc
@@ -2,17 +2,14 @@
 /// Check of a forwarded call's credential.
 #include "caller_credential.h"
 
-#include <algorithm>
-
 namespace endivewood {
 
 CredentialVerdict VerifyCredential(const FleetCatalog* catalog, const QueueName& queue,
                                    const CallerCredential& credential) {
   const bool newer = catalog != nullptr && catalog->version > credential.config_version;
   if (!newer || !catalog->accounts) return CredentialVerdict::kAccepted;
-  const auto found = std::find_if(catalog->queues.begin(), catalog->queues.end(),
-                                  [&](const Queue& each) { return each.name == queue; });
-  const bool needs_key = found != catalog->queues.end() && !found->is_public;
+  const Queue* const found = catalog->QueueOfName(queue);
+  const bool needs_key = found != nullptr && !found->is_public;
   if (!needs_key) return CredentialVerdict::kAccepted;
   if (!credential.account.valid()) return CredentialVerdict::kSenderOutdated;
   const ClientAccount* const account = catalog->AccountOfKey(credential.key);
--- a/src/config.h
+++ b/src/config.h
@@ -615,6 +615,13 @@
 /// is refused: a quarter of the shortest objective.
 inline constexpr std::int64_t kHolderWaitMs = 150;
 
+/// Milliseconds in which the holders of a queue's other services have to say whether they have a
+/// job, before a submission is refused: within a link's timeout a reachable holder has answered.
+inline constexpr std::int64_t kJobLookupTimeoutMs = kLinkTimeoutMs;
+
+/// Interval in milliseconds at which a holder looks again whether it has any jobs of a queue.
+inline constexpr std::int64_t kQueueJobsCheckMs = 1000;
+
 /// Processor time per upstream of a pool in a peak, in millicores, and upstreams per Mbit/s of
 /// link, above which other instances carry a holder's orders: about 15 starts, ends and renewals a
 /// second and upstream take 38 us each and 1 kB.
--- a/src/events.h
+++ b/src/events.h
@@ -145,6 +145,9 @@
   kCallerRejected = 820,
   kShareGranted = 824,
   kShareCallFailed = 825,
+  kQueueServiceRegistered = 826,
+  kJobFoundElsewhere = 827,
+  kJobLookupFailed = 828,
   // Machines of the platform.
   kMaintenanceOrdered = 900,
   kMoveOrdered = 901,
--- a/src/fleet_catalog.cc
+++ b/src/fleet_catalog.cc
@@ -38,6 +38,12 @@
   return nullptr;
 }
 
+const Queue* FleetCatalog::QueueOfName(const QueueName& name) const {
+  const auto found = std::find_if(queues.begin(), queues.end(),
+                                  [&](const Queue& each) { return each.name == name; });
+  return found == queues.end() ? nullptr : &*found;
+}
+
 const ClientAccount* FleetCatalog::FindAccount(const AccountName& name) const {
   if (!accounts) return nullptr;
   for (const ClientAccount& account : *accounts) {
--- a/src/fleet_catalog.h
+++ b/src/fleet_catalog.h
@@ -53,6 +53,8 @@
   /// @param host without a port.
   /// @returns the queue of a request, or nullptr when none matches.
   const Queue* FindQueue(const std::string& host, const std::string& path) const;
+  /// @returns the queue, or nullptr.
+  const Queue* QueueOfName(const QueueName& name) const;
   /// @returns the service that represents the spare pool, or nullptr.
   const CatalogService* Spare() const;
   /// @returns the account, or nullptr.
--- a/src/job_node.cc
+++ b/src/job_node.cc
@@ -189,7 +189,7 @@
   if (join_at > now) next = std::min(next, join_at);
   if (!m_terms.empty()) next = std::min(next, m_registry.NextDue());
   for (const auto& [partition, term] : m_terms) {
-    next = std::min(next, term->NextDue());
+    next = std::min({next, term->NextDue(), term->queue_services().NextDue()});
     if (term->active()) next = std::min(next, term->scheduler().NextDue(now));
   }
   if (m_planner) next = std::min(next, m_planner->NextDue());
@@ -337,6 +337,7 @@
         .max_lease = m_options.max_lease,
         .drain_notice = m_options.drain_notice,
         .max_unanswered_bytes = StartWindowBytes(m_options.capacity),
+        .queue_services = m_options.names.queue_services,
         .member = m_membership.options().member,
         .min_holder_gap = m_options.min_holder_gap,
         .overload = m_options.overload};
@@ -450,12 +451,19 @@
     SendShareCall(term, now);
     if (scheduler.fenced_out()) term->End("an upstream has seen a newer fencing token");
   }
+  RunQueueServices(term, now);
   const auto call = term->TakeCall(now);
   if (!call) return;
   CallStore(*call, Milliseconds(config::kStoreTimeoutMs), [this, term](const StoreReply& reply) {
     const bool was_active = term->active();
     term->OnReply(reply, m_clock->Now(), UnixOffset());
-    if (!was_active && term->active()) UpdateUpstreams(term.get(), m_clock->Now());
+    if (!was_active && term->active()) {
+      UpdateUpstreams(term.get(), m_clock->Now());
+      // Jobs of earlier builds, whose services weren't registered.
+      for (const QueueService& each : term->scheduler().QueueServicesInUse()) {
+        term->queue_services().Register(each);
+      }
+    }
     ScheduleTick(Milliseconds{0});
   });
 }
@@ -508,6 +516,7 @@
                                        {"queues", m_catalog->queues.size()},
                                        {"services", m_catalog->services.size()}});
       for (const auto& callback : m_catalog_callbacks) callback(*m_catalog);
+      for (auto& [partition, term] : m_terms) term->queue_services().ForgetRetired();
       if (m_planner) m_planner->SetCatalog(*m_catalog);
       if (m_ledger) m_ledger->SetAccounts(m_catalog->accounts);
       ApplyRegistry();
--- a/src/job_node.h
+++ b/src/job_node.h
@@ -51,6 +51,7 @@
   std::string wave_prefix;
   LogPartition registry;
   LogPartition status;
+  LogPartition queue_services;  ///< See QueueServicesOptions.
   std::string job_topic;
   std::string group;
 };
@@ -119,6 +120,7 @@
  private:
   struct Confirmation;
   struct Forwarding;
+  struct Lookup;
   using Term = std::shared_ptr<PartitionTerm>;
 
   void Tick();
@@ -177,6 +179,8 @@
   /// @returns why a call isn't answered for its caller, or kOk.
   NodeReply CheckCaller(const NodeCall& call, const JobScheduler& scheduler) const;
   void AnswerLocally(const NodeCall& call, Answer answer);
+  void AnswerFromScheduler(const Term& term, const NodeCall& call, Answer answer);
+  std::optional<NodeReply> RefusalOfNewJob(const Term& term, Milliseconds now) const;
   void AnswerSubmit(const std::shared_ptr<PartitionTerm>& term, const SubmitCall& call,
                     Answer answer);
   void AnswerCancel(const std::shared_ptr<PartitionTerm>& term, const CancelCall& call,
@@ -184,6 +188,19 @@
   void Attempt(const std::shared_ptr<Forwarding>& forwarding);
   void RetryOrFail(const std::shared_ptr<Forwarding>& forwarding, const char* cause);
   void Finish(const std::shared_ptr<Forwarding>& forwarding, NodeReply reply);
+  // job_node_queues.cc
+  void RunQueueServices(const Term& term, Milliseconds now);
+  /// @returns whether a call is answered only once the other services of its queue were asked.
+  static bool NeedsLookup(const NodeCall& call, const JobScheduler& scheduler);
+  void BeginLookup(const Term& term, const NodeCall& call, Answer answer);
+  bool ForwardSubmit(const Lookup& lookup);
+  void AskOtherServices(const std::shared_ptr<Lookup>& lookup);
+  void OnFindReply(const std::shared_ptr<Lookup>& lookup, const ServiceName& other,
+                   const NodeReply& reply);
+  void EndLookup(const std::shared_ptr<Lookup>& lookup);
+  void FinishLookup(const std::shared_ptr<Lookup>& lookup);
+  void FailLookup(const std::shared_ptr<Lookup>& lookup, const char* cause);
+  NodeReply AnswerFindJob(const Term& term, const FindJobCall& call);
 
   EventLoop* m_loop;
   const Clock* m_clock;
@@ -214,6 +231,8 @@
   std::unique_ptr<AccountLedger> m_ledger;
   Term m_ledger_term;
   Milliseconds m_share_failure_reported{-1000};
+  /// Calls that wait for the holders of their queues' other services, by job.
+  std::multimap<JobId, std::shared_ptr<Lookup>> m_lookups;
   InstanceOrders m_instance_orders;
   std::map<int, Endpoint> m_owners;
   std::uint64_t m_owners_generation = 0;  ///< The group's generation when m_owners was read.
--- a/src/job_node_calls.cc
+++ b/src/job_node_calls.cc
@@ -213,13 +213,27 @@
     return;
   }
   const std::shared_ptr<PartitionTerm> term = found->second;
-  JobScheduler& scheduler = term->scheduler();
-  const Milliseconds now = m_clock->Now();
+  const JobScheduler& scheduler = term->scheduler();
   NodeReply reply = CheckCaller(call, scheduler);
   if (reply.status != NodeStatus::kOk) {
     answer(std::move(reply));
     return;
   }
+  if (const auto* find = std::get_if<FindJobCall>(&call)) {
+    answer(AnswerFindJob(term, *find));
+    return;
+  }
+  if (NeedsLookup(call, scheduler)) {
+    BeginLookup(term, call, std::move(answer));
+    return;
+  }
+  AnswerFromScheduler(term, call, std::move(answer));
+}
+
+void JobNode::AnswerFromScheduler(const Term& term, const NodeCall& call, Answer answer) {
+  JobScheduler& scheduler = term->scheduler();
+  const Milliseconds now = m_clock->Now();
+  NodeReply reply{.status = NodeStatus::kOk};
   if (const auto* submit = std::get_if<SubmitCall>(&call)) {
     AnswerSubmit(term, *submit, std::move(answer));
     return;
@@ -236,8 +250,6 @@
       reply.status =
           m_membership.IsConfirmed(now) ? NodeStatus::kUnknownJob : NodeStatus::kNotHolder;
     }
-  } else if (const auto* pending = std::get_if<PendingCall>(&call)) {
-    reply.pending = scheduler.Pending(pending->queue);
   } else if (const auto* demand = std::get_if<DemandCall>(&call)) {
     scheduler.SetPlannedCapacity(demand->service, demand->planned_millicores, now);
     reply.demand = scheduler.Demand(demand->service, now);
@@ -253,15 +265,21 @@
   answer(std::move(reply));
 }
 
+/// @returns the refusal of a job that couldn't be stored in time; no value if it can be.
+std::optional<NodeReply> JobNode::RefusalOfNewJob(const Term& term, Milliseconds now) const {
+  if (!term->IsStoreDelayed(now) && m_membership.IsConfirmed(now)) return std::nullopt;
+  NodeReply reply{.status = NodeStatus::kUnavailable};
+  reply.retry_after = Milliseconds(config::kFailoverRetryMs);
+  reply.reason = "store-delayed";
+  return reply;
+}
+
 void JobNode::AnswerSubmit(const std::shared_ptr<PartitionTerm>& term, const SubmitCall& call,
                            Answer answer) {
   const Milliseconds now = m_clock->Now();
   const bool known = term->scheduler().StateOf(call.spec.id).has_value();
-  if (!known && (term->IsStoreDelayed(now) || !m_membership.IsConfirmed(now))) {
-    NodeReply reply{.status = NodeStatus::kUnavailable};
-    reply.retry_after = Milliseconds(config::kFailoverRetryMs);
-    reply.reason = "store-delayed";
-    answer(std::move(reply));
+  if (auto refusal = RefusalOfNewJob(term, now); !known && refusal) {
+    answer(std::move(*refusal));
     return;
   }
   const SubmitResult result = term->scheduler().Submit(call.spec, call.policy, now);
--- a/src/job_node_dump.cc
+++ b/src/job_node_dump.cc
@@ -57,6 +57,12 @@
                               {"spread", summary.spread},
                               {"runs", summary.runs}};
   }
+  nlohmann::json queue_services = nlohmann::json::array();
+  for (const QueueService& each : term.queue_services().known()) {
+    queue_services.push_back({{"queue", each.queue.str()},
+                              {"service", each.service.str()},
+                              {"own", term.queue_services().registered().count(each) > 0}});
+  }
   return {{"partition", term.options().partition.number},
           {"shares", std::move(shares)},
           {"epoch", term.options().epoch},
@@ -64,6 +70,7 @@
           {"jobs", term.scheduler().jobs().size()},
           {"results", term.scheduler().results()},
           {"durations", std::move(durations)},
+          {"queue_services", std::move(queue_services)},
           {"upstreams", std::move(upstreams)}};
 }
 
--- a/src/job_scheduler.cc
+++ b/src/job_scheduler.cc
@@ -163,6 +163,32 @@
       }));
 }
 
+bool JobScheduler::HasJobsOf(const QueueName& queue, Milliseconds now) {
+  Milliseconds& seen_at = m_queue_jobs_seen_at.try_emplace(queue, -1).first->second;
+  if (seen_at >= Milliseconds{0} && now - seen_at < Milliseconds(config::kQueueJobsCheckMs)) {
+    return true;
+  }
+  const bool any =
+      std::any_of(m_jobs.begin(), m_jobs.end(),
+                  [&](const auto& job) { return job.second->spec().queue == queue; }) ||
+      std::any_of(m_results.begin(), m_results.end(),
+                  [&](const auto& ended) { return ended.second.result.queue == queue; });
+  if (any) {
+    seen_at = now;
+  } else {
+    m_queue_jobs_seen_at.erase(queue);
+  }
+  return any;
+}
+
+std::set<QueueService> JobScheduler::QueueServicesInUse() const {
+  std::set<QueueService> in_use;
+  for (const auto& [id, job] : m_jobs) {
+    if (IsOpen(*job)) in_use.insert({.queue = job->spec().queue, .service = job->spec().service});
+  }
+  return in_use;
+}
+
 void JobScheduler::EndJob(const JobId& id, JobState state, Milliseconds now) {
   const Job& job = *m_jobs[id];
   const std::uint64_t change = MarkDirty(JobKey(id), true);
--- a/src/job_scheduler.h
+++ b/src/job_scheduler.h
@@ -117,6 +117,10 @@
   std::optional<JobOrigin> OriginOf(const JobId& id) const;
   /// @returns the number of accepted jobs of a queue without any started task.
   std::size_t Pending(const QueueName& queue) const;
+  /// @returns whether there are jobs or results of a queue. `true` may be kQueueJobsCheckMs old.
+  bool HasJobsOf(const QueueName& queue, Milliseconds now);
+  /// @returns the queues of the jobs that haven't ended, each with its jobs' service.
+  std::set<QueueService> QueueServicesInUse() const;
 
   // The store.
 
@@ -389,6 +393,8 @@
   std::map<AccountName, Milliseconds> m_limit_reports;  ///< When a waiting task was last logged.
   std::map<JobId, std::unique_ptr<Job>> m_jobs;
   std::map<JobId, Ended> m_results;
+  /// When jobs of a queue were last found, see HasJobsOf.
+  std::map<QueueName, Milliseconds> m_queue_jobs_seen_at;
   Milliseconds m_results_expire_at{0};  ///< Unix time of the next search for expired results.
   std::map<UpstreamId, UpstreamSession> m_sessions;
   /// Addresses at which another incarnation answers.
--- a/src/jobs.h
+++ b/src/jobs.h
@@ -18,6 +18,14 @@
 /// A client account: a customer of the deployment.
 using AccountName = Name<struct AccountTag>;
 
+/// A queue and a service that takes, or has taken, its jobs.
+struct QueueService {
+  QueueName queue;
+  ServiceName service;
+
+  auto operator<=>(const QueueService&) const = default;
+};
+
 /// Resource requirements and behaviour of the tasks of one step.
 struct StepSpec {
   int count = 0;
--- a/src/node_calls.cc
+++ b/src/node_calls.cc
@@ -29,12 +29,15 @@
 ENDIVEWOOD_CODEC(endivewood::ShareRequest, v.account, v.keep, v.limit, v.running, v.used,
                  v.want, v.next, v.task)
 ENDIVEWOOD_CODEC(endivewood::ShareCall, v.service, v.partition, v.epoch, v.sequence, v.requests)
+ENDIVEWOOD_CODEC(endivewood::FindJobCall, v.service, v.queue, v.job, v.for_service,
+                 v.config_version)
 ENDIVEWOOD_CODEC(endivewood::GrantedShare, v.account, v.share, v.contended, v.fair, v.over)
 ENDIVEWOOD_CODEC(endivewood::ShareReply, v.sequence, v.shares)
 ENDIVEWOOD_CODEC(endivewood::KnownOwner, v.partition, v.endpoint)
 ENDIVEWOOD_CODEC(endivewood::RecentOrder, v.instance, v.age)
 ENDIVEWOOD_CODEC(endivewood::NodeReply, v.status, v.state, v.pending, v.retry_after, v.demand,
-                 v.release, v.reason, v.owners, v.generation, v.recent_orders, v.shares)
+                 v.release, v.reason, v.owners, v.generation, v.recent_orders, v.shares,
+                 v.queue_retired)
 ENDIVEWOOD_CODEC(endivewood::CarryReply, v.carrier_clock, v.order, v.renew)
 // clang-format on
 
@@ -164,7 +167,7 @@
 
 const char* CallName(const NodeCall& call) {
   constexpr const char* kNames[] = {"submit",  "status", "cancel",   "pending", "demand",
-                                    "release", "owners", "handover", "share"};
+                                    "release", "owners", "handover", "share",   "find-job"};
   static_assert(std::size(kNames) == std::variant_size_v<NodeCall>);
   return kNames[call.index()];
 }
--- a/src/node_calls.h
+++ b/src/node_calls.h
@@ -68,8 +68,21 @@
   std::uint64_t epoch = 0;  ///< Epoch of the sender's term.
 };
 
+/// Sent by the holder of one service's partition to that of another service which may have jobs of
+/// the same queue. kUnknownJob: it doesn't have the job, and will ask the sender before it accepts
+/// one of the queue.
+struct FindJobCall {
+  ServiceName service;  ///< Whose holder is asked.
+  QueueName queue;
+  JobId job;                         ///< Invalid: only the number of pending jobs is asked for.
+  ServiceName for_service;           ///< Whose holder asks.
+  std::uint64_t config_version = 0;  ///< Of the sender.
+
+  bool operator==(const FindJobCall&) const = default;
+};
+
 using NodeCall = std::variant<SubmitCall, StatusCall, CancelCall, PendingCall, DemandCall,
-                              ReleaseCall, OwnersCall, HandoverCall, ShareCall>;
+                              ReleaseCall, OwnersCall, HandoverCall, ShareCall, FindJobCall>;
 
 /// @returns the service whose partition's holder has to answer.
 const ServiceName& ServiceOf(const NodeCall& call);
@@ -116,6 +129,9 @@
   std::uint64_t generation = 0;            ///< The group's generation when `owners` was read.
   std::vector<RecentOrder> recent_orders;  ///< Answer to a HandoverCall.
   ShareReply shares;                       ///< Answer to a ShareCall.
+  /// Answer to a FindJobCall: the service has no jobs of the queue, and takes none by a
+  /// configuration that is no older than the sender's.
+  bool queue_retired = false;
 };
 
 /// One frame between two instances. On the wire: a 4-byte big-endian length, then msgpack.
--- a/src/partition_term.cc
+++ b/src/partition_term.cc
@@ -26,6 +26,9 @@
                            .drain_notice = options.drain_notice,
                            .max_unanswered_bytes = options.max_unanswered_bytes,
                            .overload = options.overload})),
+      m_queue_services({.partition = options.queue_services,
+                        .producer = kProducer + std::to_string(options.partition.number),
+                        .epoch = options.epoch}),
       m_started(now),
       m_sequence(options.epoch * config::kAppendsPerEpoch) {}
 
@@ -192,6 +195,7 @@
       {{"partition", m_options.partition.number}, {"epoch", m_options.epoch}, {"cause", cause}});
   const std::deque<Waiter> waiters = std::exchange(m_waiters, {});
   for (const Waiter& waiter : waiters) waiter.done(false);
+  m_queue_services.End();
 }
 
 }  // namespace endivewood
--- a/src/partition_term.h
+++ b/src/partition_term.h
@@ -9,6 +9,7 @@
 
 #include "handover.h"
 #include "job_scheduler.h"
+#include "queue_services.h"
 #include "store_calls.h"
 
 namespace endivewood {
@@ -20,6 +21,7 @@
   Milliseconds max_lease{10000};
   Milliseconds drain_notice{2000};
   std::int64_t max_unanswered_bytes = 0;  ///< See SchedulerOptions.
+  LogPartition queue_services;            ///< See QueueServicesOptions.
   std::string member;           ///< This process's name in the group; unique per process start.
   Milliseconds min_holder_gap;  ///< Minimum time between two holders' orders to one instance.
   OverloadChoice overload = OverloadChoice::kByConfiguration;  ///< See SchedulerOptions.
@@ -38,6 +40,9 @@
   JobScheduler& scheduler() { return *m_scheduler; }
   const JobScheduler& scheduler() const { return *m_scheduler; }
 
+  QueueServices& queue_services() { return m_queue_services; }
+  const QueueServices& queue_services() const { return m_queue_services; }
+
   /// @returns the handover from earlier holders; only while active.
   Handover& handover() { return *m_handover; }
   /// Shortens the inherited leases once every earlier holder has stopped.
@@ -71,6 +76,7 @@
 
   PartitionTermOptions m_options;
   std::unique_ptr<JobScheduler> m_scheduler;
+  QueueServices m_queue_services;
   std::optional<Handover> m_handover;
   bool m_handover_applied = false;
   State m_state = State::kClaiming;
--- a/tests/node_calls_test.cc
+++ b/tests/node_calls_test.cc
@@ -37,6 +37,27 @@
   CHECK(malformed);
 }
 
+// Guards against a search for a job that changes in encoding or decoding.
+TEST_CASE("a search for a job and its answer decode to what was encoded") {
+  const FindJobCall call{.service = ServiceName("b"),
+                         .queue = QueueName("q"),
+                         .job = JobId("j"),
+                         .for_service = ServiceName("a"),
+                         .config_version = 1ULL << 40};
+  std::string bytes = EncodeNodeFrame({.id = 7, .body = NodeCall(call)});
+  bool malformed = false;
+  const auto frame = TakeNodeFrame(&bytes, &malformed);
+  REQUIRE(frame);
+  CHECK(std::get<FindJobCall>(std::get<NodeCall>(frame->body)) == call);
+  NodeReply reply{.status = NodeStatus::kUnknownJob, .pending = 5};
+  reply.queue_retired = true;
+  bytes = EncodeNodeFrame({.id = 8, .body = reply});
+  const auto answer = TakeNodeFrame(&bytes, &malformed);
+  REQUIRE(answer);
+  CHECK(std::get<NodeReply>(answer->body).queue_retired);
+  CHECK(std::get<NodeReply>(answer->body).pending == 5);
+}
+
 // Guards against refusing a call that another instance has executed: only a call that was never
 // sent is known not to have been.
 TEST_CASE("a call tells whether it may have arrived") {
