Keep an unlisted upstream until its ends are acknowledged

Cause: while the store is away, entries of the registry expire. When it is back, an upstream that isn't listed was forgotten as soon as nothing ran there, also with a failure that was read and not yet acknowledged, and the failure was taken off its task. The entry comes back, the end is listed again, but the task has been started elsewhere meanwhile: the end isn't counted, and then it is acknowledged, which makes it count for the platform. Ruled out: a lease that ended in between (it was extended up to the outage, and ends later).

Change: an upstream that isn't listed is forgotten once all ends that were read have been acknowledged, or its lease has ended, as Release has it already; both use the same check.

Why it works: a failure is dropped only when the platform doesn't count it any more.

--- a/src/job_scheduler_upstreams.cc
+++ b/src/job_scheduler_upstreams.cc
@@ -77,8 +77,11 @@
     const bool idle =
         session.hosted.empty() && !session.renew_in_flight && !session.HasUnsettledStart();
     const bool lists_complete = session.hosted_complete && !session.more_ended;
-    const bool no_unknown_runs = lists_complete || session.LatestLeaseEnd() <= now;
-    if (session.listed || !idle || !no_unknown_runs) {
+    // An end that is listed again after the upstream has returned, and acknowledged then, counts
+    // like any other, unless a lease has ended in between.
+    const bool nothing_outstanding =
+        (lists_complete && session.HasAcknowledgedAllEnds()) || session.LatestLeaseEnd() <= now;
+    if (session.listed || !idle || !nothing_outstanding) {
       ++it;
       continue;
     }
@@ -471,9 +474,9 @@
   session->released_until = until;
   m_next_due = now;
   // Ended runs that aren't acknowledged yet would be lost with the instance.
-  const bool all_acknowledged = session->acknowledged_cursor >= session->processed_cursor;
-  const bool nothing_outstanding = (session->fenced && all_acknowledged && !session->more_ended) ||
-                                   session->LatestLeaseEnd() <= now;
+  const bool lists_complete = session->fenced && !session->more_ended;
+  const bool nothing_outstanding =
+      (lists_complete && session->HasAcknowledgedAllEnds()) || session->LatestLeaseEnd() <= now;
   if (!session->hosted.empty() || !nothing_outstanding) return ReleaseState::kBusy;
   session->reported_released_until = until;
   return ReleaseState::kReleased;
--- a/src/upstream_session.h
+++ b/src/upstream_session.h
@@ -240,6 +240,9 @@
     return {.incarnation = incarnation, .fencing_token = fencing_token, .start_time = start_time};
   }
 
+  /// @returns whether the upstream has answered an acknowledgement of each end that was processed.
+  bool HasAcknowledgedAllEnds() const { return acknowledged_cursor >= processed_cursor; }
+
   /// @returns whether it belongs to the capacity of its service.
   bool CountsAsCapacity() const { return listed && !IsLost(); }
 
