Store a failure before its task starts again

Cause: a failed task started again before the record of its failure was stored. If the holder is replaced before that, and the next one reads the run list with the new run first, it takes the failure, which it reads later, for that of an earlier run: it isn't counted, and then acknowledged. It takes a partition of the store that is away while ownership is confirmed, and a change of the holder.

Change: the record of a failure is stored with the next urgent append, and its task starts again only after that.

Why it works: a failure is either stored, so that the next holder restores it, or nothing of its task runs, so that the next holder counts it from the run list.

Conclusion: fixed.

--- a/src/job.h
+++ b/src/job.h
@@ -32,6 +32,7 @@
 struct TaskState {
   bool done = false;
   std::vector<FailedRun> failed;
+  std::uint64_t failed_at_change = 0;  ///< Change number of the last failure.
   int runs = 0;  ///< Runs ordered by this holder; used for unique run numbers.
   std::optional<PlacedRun> placed;
   /// Second run beside `placed`, where the step is speculative.
--- a/src/job_scheduler.cc
+++ b/src/job_scheduler.cc
@@ -318,6 +318,8 @@
   if (task.done || task.placed || task.not_before > now) return false;
   const auto attempts = static_cast<std::size_t>(job.policy().attempts);
   if (!job.spec().steps[step].lasting && task.failed.size() >= attempts) return false;
+  // A next holder that found the new run first wouldn't count a failure that isn't stored.
+  if (task.failed_at_change > m_durable) return false;
   if (task.inherited && m_inherited_pending) return false;
   // Unless ownership was confirmed after the run ended, another holder may have restarted the task.
   if (task.requeued_at && *task.requeued_at > m_rights.confirmed_at) return false;
--- a/src/job_scheduler.h
+++ b/src/job_scheduler.h
@@ -202,7 +202,7 @@
 
   // job_scheduler.cc
   /// @param item key of the record to store.
-  /// @param urgent whether a caller waits for it.
+  /// @param urgent whether a caller, or the next start of a task, waits for it.
   /// @returns the number of the change.
   std::uint64_t MarkDirty(const std::string& item, bool urgent);
   void EncodeItem(const std::string& item, std::vector<KeyedRecord>* records) const;
--- a/src/job_scheduler_run_lists.cc
+++ b/src/job_scheduler_run_lists.cc
@@ -123,7 +123,7 @@
     known->acknowledged = false;
   }
   session->failures.push_back({.number = row.number, .task = row.task, .run = row.run});
-  MarkDirty(JobKey(row.task.job), false);
+  task->failed_at_change = MarkDirty(JobKey(row.task.job), true);
 }
 
 void JobScheduler::AcknowledgeFailures(UpstreamSession* session, std::uint64_t cursor,
--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -385,6 +385,8 @@
   }
 
   bool store_up = true;
+  /// Whether the holder's records are stored. Its ownership is confirmed by `store_up`.
+  bool partition_up = true;
   bool registry_up = true;
   bool may_extend = true;
   double lost_answer_share = 0;    ///< Share of orders that are executed but not answered.
@@ -724,7 +726,7 @@
   }
 
   void StoreBatch() {
-    if (!store_up) return;
+    if (!store_up || !partition_up) return;
     if (const auto batch = holder->TakeBatch()) {
       for (const KeyedRecord& record : batch->records) {
         if (record.value.empty()) {
--- a/tests/uncounted_failure_test.cc
+++ b/tests/uncounted_failure_test.cc
@@ -78,6 +78,34 @@
   CheckNoViolation(simulation);
 }
 
+// Guards against a third run of a task with two attempts: it starts again before its failure is
+// stored, and the next holder, which finds the new run first, doesn't count the failure that it
+// finds after that.
+TEST_CASE("a failure counts although the holder changes before it is stored") {
+  SchedulerSimulation simulation(WithTransit(1));
+  simulation.Run(Milliseconds(1000));
+  SubmitHopeless(&simulation, "hopeless");
+  REQUIRE(simulation.RunUntil([&] { return simulation.starts == 1; }, Milliseconds(1000)));
+  simulation.partition_up = false;
+  REQUIRE(simulation.RunUntil([&] { return EndedRuns(simulation) == 1; }, Milliseconds(2000)));
+  FakeUpstream* failed = nullptr;
+  for (const auto& upstream : simulation.upstreams) {
+    if (upstream->ended_runs > 0) failed = upstream.get();
+  }
+  simulation.Run(Milliseconds(300));
+  // The next holder doesn't reach the upstream with the failure at once.
+  failed->reachable = false;
+  simulation.StartNewHolder();
+  simulation.old_holder.reset();
+  simulation.partition_up = true;
+  simulation.Run(Milliseconds(300));
+  failed->reachable = true;
+  simulation.Run(Milliseconds(25000));
+  CHECK(EndedRuns(simulation) == 2);
+  CHECK(simulation.StateOf("hopeless") == JobState::kFailed);
+  CheckNoViolation(simulation);
+}
+
 /// Plays outages of the store in which entries expire and tasks of hopeless jobs fail.
 /// @param changes_holder whether the holder is replaced after each outage.
 void PlayOutages(unsigned seed, bool changes_holder) {
