--- a/src/job.cc
+++ b/src/job.cc
@@ -197,4 +197,8 @@
   }
 }
 
+bool IsOpen(const Job& job) {
+  return job.state == JobState::kQueued || job.state == JobState::kRunning;
+}
+
 }  // namespace endivewood
--- a/src/job.h
+++ b/src/job.h
@@ -190,6 +190,9 @@
   std::int64_t m_remaining_work = 0;
 };
 
+/// @returns whether a job hasn't ended.
+bool IsOpen(const Job& job);
+
 /// Keys of the records in a partition of the job store.
 std::string JobKey(const JobId& job);
 std::string ProgressKey(const JobId& job);
