Pause the carrier of a test while orders wait in its connection

Cause: the test advanced the carrier's clock before the submission, while the carrier went on answering. A reply to a renewal tells the holder the new clock, and starts that are decided after it may be carried: they haven't waited. The check is right only if the starts are sent within the milliseconds before that reply.

Change: holder and carrier have a loop each. The carrier stands still until the starts have been sent to it, then its clock advances and it runs while the holder stands still. The check is the same, and holds in any order of events.

--- a/tests/order_carrier_test.cc
+++ b/tests/order_carrier_test.cc
@@ -284,21 +284,28 @@
   std::vector<PartitionOwner> m_owners;
 };
 
-/// A holder and a carrier on loopback.
+/// A holder and a carrier on loopback. Each has its own loop, so that one can be paused.
 class Pair {
  public:
   Pair(std::uint16_t first_port, int upstreams)
       : m_owners({{.partition = {"jobs", 9},
                    .member = "127.0.0.1:" + std::to_string(first_port + 1) + "/100/a/x"}}),
-        carrier(&loop, &m_runs, first_port + 1, 0, false, {}),
-        holder(&loop, &m_runs, first_port, upstreams, true, m_owners) {
+        carrier(&m_carrier_loop, &m_runs, first_port + 1, 0, false, {}),
+        holder(&m_holder_loop, &m_runs, first_port, upstreams, true, m_owners) {
     SilenceEvents();
   }
 
-  void RunUntil(Milliseconds time) {
-    loop.After(time, [this] { loop.Stop(); });
-    loop.Run();
+  void Run(Milliseconds time) {
+    const Milliseconds end = holder.clock.Now() + time;
+    while (holder.clock.Now() < end) {
+      RunCarrier(Milliseconds(1));
+      RunHolder(Milliseconds(1));
+    }
   }
+  /// Runs the carrier while the holder is paused.
+  void RunCarrier(Milliseconds time) { RunLoop(&m_carrier_loop, time); }
+  /// Runs the holder while the carrier is paused.
+  void RunHolder(Milliseconds time) { RunLoop(&m_holder_loop, time); }
 
   void Submit(const std::string& id) {
     const SubmitCall call{.spec = {.id = JobId(id),
@@ -307,15 +314,24 @@
                                    .payload = "payload of " + id,
                                    .steps = {Step(4, 500)}},
                           .policy = test_policy};
-    holder.node->Handle(call, Milliseconds(3000), [](const NodeReply&) {});
+    holder.node->Handle(call, Milliseconds(3000), [this](const NodeReply& reply) {
+      if (reply.status == NodeStatus::kOk) ++accepted;
+    });
   }
 
  private:
+  static void RunLoop(EventLoop* loop, Milliseconds time) {
+    loop->After(time, [loop] { loop->Stop(); });
+    loop->Run();
+  }
+
   std::vector<PartitionOwner> m_owners;
   Runs m_runs;
+  EventLoop m_carrier_loop;
+  EventLoop m_holder_loop;
 
  public:
-  EventLoop loop;
+  int accepted = 0;  ///< Submissions that the holder has accepted.
   Instance carrier;
   Instance holder;
 };
@@ -323,10 +339,10 @@
 // Guards against a holder that still makes the calls of a large pool itself.
 TEST_CASE("the orders of a large pool are sent by another instance") {
   Pair pair(21930, 60);
-  pair.RunUntil(Milliseconds(1500));
+  pair.Run(Milliseconds(1500));
   const int before = pair.holder.renewals;
   pair.Submit("0123456789abcdef");
-  pair.RunUntil(Milliseconds(1500));
+  pair.Run(Milliseconds(1500));
   CHECK(pair.carrier.renewals > 60);
   CHECK(pair.holder.renewals == before);
   CHECK(pair.carrier.payloads == std::vector<std::string>(4, "payload of 0123456789abcdef"));
@@ -336,9 +352,9 @@
 // Guards against a detour that costs callers time where there is nothing to gain.
 TEST_CASE("the orders of a small pool are sent by its holder") {
   Pair pair(21934, 6);
-  pair.RunUntil(Milliseconds(1500));
+  pair.Run(Milliseconds(1500));
   pair.Submit("0123456789abcdef");
-  pair.RunUntil(Milliseconds(500));
+  pair.Run(Milliseconds(500));
   CHECK(pair.carrier.renewals == 0);
   CHECK(pair.holder.payloads.size() == 4);
 }
@@ -346,14 +362,20 @@
 // Guards against starts by a carrier that was paused while they waited in its connection.
 TEST_CASE("a carrier that was paused sends none of the orders that waited") {
   Pair pair(21938, 60);
-  pair.RunUntil(Milliseconds(1500));
-  // From now on the carrier handles what arrives as if it had been paused before.
-  pair.carrier.clock.Advance(Milliseconds(5000));
+  pair.Run(Milliseconds(1500));
   pair.Submit("0123456789abcdef");
-  pair.RunUntil(Milliseconds(200));
+  for (int round = 0; round < 500 && pair.accepted == 0; ++round) {
+    pair.RunHolder(Milliseconds(1));
+  }
+  REQUIRE(pair.accepted == 1);
+  pair.RunHolder(Milliseconds(100));
+  REQUIRE(pair.holder.payloads.empty());
+  // The carrier finds the starts before the holder can learn how long it was paused.
+  pair.carrier.clock.Advance(Milliseconds(5000));
+  pair.RunCarrier(Milliseconds(200));
   CHECK(pair.carrier.payloads.empty());
   // Nothing is lost: the starts are sent another way.
-  pair.RunUntil(Milliseconds(1500));
+  pair.Run(Milliseconds(1500));
   CHECK(pair.holder.payloads.size() + pair.carrier.payloads.size() == 4);
 }
 
