Remove two lines without effect from a test

The case of an upstream that has left switched the store off and on again in one moment. The end isn't acknowledged because the upstream leaves at the time of the end.

--- a/tests/uncounted_failure_test.cc
+++ b/tests/uncounted_failure_test.cc
@@ -66,8 +66,6 @@
   SchedulerSimulation simulation(WithTransit(1));
   simulation.Run(Milliseconds(1000));
   SubmitHopeless(&simulation, "hopeless");
-  simulation.store_up = false;
-  simulation.store_up = true;
   REQUIRE(simulation.RunUntil([&] { return EndedRuns(simulation) == 1; }, Milliseconds(2000)));
   for (const auto& upstream : simulation.upstreams) {
     if (upstream->ended_runs > 0) upstream->alive = false;
