Move the owners of partitions to a file of their own

Change: RefreshOwners, OnOwners, AskPeersForOwners and SetOwners are moved unchanged to job_node_owners.cc.

--- a/src/job_node.h
+++ b/src/job_node.h
@@ -136,14 +136,15 @@
   void EndLostTerms();
   void BeginNewTerms(Milliseconds now);
   std::vector<int> OtherHolders() const;
-  void RefreshOwners(Milliseconds now);
-  void AskPeersForOwners(Milliseconds now);
-  void OnOwners(const StoreReply& reply);
-  void SetOwners(std::map<int, Endpoint> owners, std::uint64_t generation);
   void RunTerms(Milliseconds now);
   void RunTerm(PartitionTerm* term, Milliseconds now);
   void RunHandover(const std::shared_ptr<PartitionTerm>& term, Milliseconds now);
   void AnswerHandover(const HandoverCall& call, const Answer& answer);
+  // job_node_owners.cc
+  void RefreshOwners(Milliseconds now);
+  void AskPeersForOwners(Milliseconds now);
+  void OnOwners(const StoreReply& reply);
+  void SetOwners(std::map<int, Endpoint> owners, std::uint64_t generation);
   // job_node_accounts.cc
   /// Keeps the ledger of the accounts' limits while this instance holds partition 0.
   void UpdateLedger();
