--- a/tests/log_service.h
+++ b/tests/log_service.h
@@ -2,6 +2,7 @@
 /// An in-memory log service that keeps keyed topics, for nodes on one event loop.
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <string>
