--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -7,6 +7,7 @@
 import shutil
 import signal
 import socket
+import subprocess
 import sys
 import tempfile
 import time
@@ -100,8 +101,8 @@
         command = node_command()
         command[0] = os.path.join(ROOT, command[0])
         environment = {"ENDIVEWOOD_SETTINGS": self.settings, "PATH": os.environ.get("PATH", "")}
-        self.process = __import__("subprocess").Popen(command, cwd=ROOT, env=environment,
-                                                      stdout=log, stderr=log)
+        self.process = subprocess.Popen(command, cwd=ROOT, env=environment,
+                                        stdout=log, stderr=log)
 
     def signal(self, number):
         if self.process is not None and self.process.poll() is None:
--- a/review/standins-3/executor.py
+++ b/review/standins-3/executor.py
@@ -170,13 +170,16 @@
 
     def report(self):
         self.seq += 1
+        self.fleet.store.put("keyed.servers", self.id, self.entry())
+
+    def entry(self):
         entry = {"service": self.service, "addr": f"{self.address}:{self.port}", "zone": self.zone,
                  "version": "v1", "slots": 8, "state": "draining" if self.draining else "ready",
                  "cold_left_ms": 0, "capacity": self.capacity, "labels": self.labels,
                  "clock_ms": self.clock(), "born": self.born, "seq": self.seq}
         if self.draining:
             entry["remaining_ms"] = self.fleet.settings["drain_ms"]
-        self.fleet.store.put("keyed.servers", self.id, json.dumps(entry).encode())
+        return json.dumps(entry).encode()
 
     async def watch_lease(self):
         while True:
