--- a/review/11/play.py
+++ b/review/11/play.py
@@ -9,7 +9,7 @@
 sys.path.insert(0, os.path.join(HERE, "..", "standins-3"))
 from deployment import BOUNDS, run  # noqa: E402
 
-HOST, PREFIX = "work.example", "/work/"
+HOST, PREFIX = "work.example", "/queue/"
 CONFIG = {"version": 3, "routes": [
     {"name": "r-work", "host": HOST, "prefix": PREFIX, "kind": "non_idempotent", "timeout_ms": 3000,
      "slo_ms": 2500, "prio": 0, "service": "work", "attempts": 3, "stretch": 2.2}],
