Count a step's tasks on each upstream as they come and go

A user's job with one step of 10,000 lasting tasks and max_per_upstream 600 was accepted with 200.

Cause: Fits counted the tasks of the step on an upstream by walking its runs, anew for each task and each upstream, so a placement pass cost tasks x upstreams x tasks per upstream.

Change: HostedRuns and the new HeldRoom count their tasks by step when one is added or removed, and sum up what they hold, so Fits and Free look a number up.

--- a/src/job_placement.cc
+++ b/src/job_placement.cc
@@ -11,20 +11,6 @@
 namespace endivewood {
 namespace {
 
-/// Counts a step's tasks in a map by task.
-template <typename Value>
-int TasksOfStep(const std::map<TaskKey, Value>& tasks, const TaskKey& task) {
-  TaskKey first = task;
-  first.index = 0;
-  int count = 0;
-  for (auto it = tasks.lower_bound(first); it != tasks.end(); ++it) {
-    const TaskKey& key = it->first;
-    if (key.job != first.job || key.occurrence != first.occurrence || key.step != first.step) break;
-    ++count;
-  }
-  return count;
-}
-
 /// Placement cost by decreasing weight; the smallest tuple wins.
 using PlacementCost = std::tuple<int, Standing, int, int, std::int64_t>;
 
@@ -190,8 +176,9 @@
   if (session.entry.service != waiting.job->spec().service) return false;
   if (!step.required_label.empty() && !HasLabel(session.entry, step.required_label)) return false;
   if (step.max_per_upstream == 0) return true;
-  const int others = TasksOfStep(session.hosted.map(), key) + TasksOfStep(session.held, key) -
-                     (holds_room ? 1 : 0);
+  const StepKey step_key = StepKeyOf(key);
+  const int others = session.hosted.step_counts().Of(step_key) +
+                     session.held.step_counts().Of(step_key) - (holds_room ? 1 : 0);
   return others < step.max_per_upstream;
 }
 
--- a/src/job_scheduler_lasting.cc
+++ b/src/job_scheduler_lasting.cc
@@ -107,7 +107,7 @@
 void JobScheduler::HoldRoom(const TaskKey& task, const Capacity& capacity, UpstreamSession* session,
                             Milliseconds now, Milliseconds room_expected_at) {
   DropHold(task);
-  session->held[task] = capacity;
+  session->held.Put(task, capacity);
   m_holds[task] = {
       .upstream = session->entry.id, .chosen_at = now, .room_expected_at = room_expected_at};
 }
@@ -174,7 +174,7 @@
     HoldFutureRoom(waiting, task, &*m_move_candidates, now);
     return nullptr;
   }
-  if (target->session->held.count(task) == 0) {
+  if (!target->session->held.contains(task)) {
     DropHold(task);
     HoldRoom(task, ReservationOf(spec), target->session, now, now);
     target->free = target->free - ReservationOf(spec);
--- a/src/jobs.h
+++ b/src/jobs.h
@@ -108,6 +108,19 @@
   auto operator<=>(const TaskKey&) const = default;
 };
 
+/// Identifies the tasks of one step in one occurrence of a job.
+struct StepKey {
+  JobId job;
+  int occurrence = 0;
+  int step = 0;
+
+  auto operator<=>(const StepKey&) const = default;
+};
+
+inline StepKey StepKeyOf(const TaskKey& task) {
+  return {.job = task.job, .occurrence = task.occurrence, .step = task.step};
+}
+
 /// Resources of an upstream, or requirements of a task.
 struct Capacity {
   int cpu_millicores = 0;
--- a/src/upstream_session.cc
+++ b/src/upstream_session.cc
@@ -43,6 +43,31 @@
   if (total == ResourceTotal{}) m_totals.erase(account);
 }
 
+void StepCounts::Remove(const TaskKey& task) {
+  const auto count = m_counts.find(StepKeyOf(task));
+  if (count != m_counts.end() && --count->second == 0) m_counts.erase(count);
+}
+
+int StepCounts::Of(const StepKey& step) const {
+  const auto count = m_counts.find(step);
+  return count == m_counts.end() ? 0 : count->second;
+}
+
+void HeldRoom::Put(const TaskKey& task, const Capacity& capacity) {
+  erase(task);
+  m_room.emplace(task, capacity);
+  m_total = m_total + capacity;
+  m_step_counts.Add(task);
+}
+
+void HeldRoom::erase(const TaskKey& task) {
+  const auto held = m_room.find(task);
+  if (held == m_room.end()) return;
+  m_total = m_total - held->second;
+  m_step_counts.Remove(task);
+  m_room.erase(held);
+}
+
 void HostedRuns::Count(const HostedRun& run, int sign) {
   m_used = sign > 0 ? m_used + run.reserved : m_used - run.reserved;
   if (run.target_latency > Milliseconds{0}) m_latency_sensitive += sign;
@@ -53,7 +78,11 @@
 
 HostedRun& HostedRuns::Put(const TaskKey& task, const HostedRun& run) {
   const auto [position, added] = m_runs.try_emplace(task);
-  if (!added) Count(position->second, -1);
+  if (added) {
+    m_step_counts.Add(task);
+  } else {
+    Count(position->second, -1);
+  }
   position->second = run;
   Count(run, 1);
   return position->second;
@@ -61,6 +90,7 @@
 
 HostedRuns::Map::iterator HostedRuns::erase(Map::iterator position) {
   Count(position->second, -1);
+  m_step_counts.Remove(position->first);
   return m_runs.erase(position);
 }
 
@@ -77,8 +107,7 @@
 }
 
 Capacity UpstreamSession::Free() const {
-  Capacity free = entry.capacity - hosted.used();
-  for (const auto& [task, capacity] : held) free = free - capacity;
+  const Capacity free = entry.capacity - hosted.used() - held.total();
   if (!hosted.any_needs_unknown()) return free;
   return {.cpu_millicores = std::min(free.cpu_millicores, 0),
           .memory_mb = std::min(free.memory_mb, 0),
--- a/src/upstream_session.h
+++ b/src/upstream_session.h
@@ -60,6 +60,40 @@
   ResourceTotal charged;              ///< What counts against the account's limit.
 };
 
+/// Numbers of tasks by step.
+class StepCounts {
+ public:
+  void Add(const TaskKey& task) { ++m_counts[StepKeyOf(task)]; }
+  void Remove(const TaskKey& task);
+  int Of(const StepKey& step) const;
+
+ private:
+  std::map<StepKey, int> m_counts;  ///< Without zeros.
+};
+
+/// Room kept on one upstream for lasting tasks that are to be started there.
+class HeldRoom {
+ public:
+  using Map = std::map<TaskKey, Capacity>;
+
+  Map::const_iterator begin() const { return m_room.begin(); }
+  Map::const_iterator end() const { return m_room.end(); }
+  Map::const_iterator find(const TaskKey& task) const { return m_room.find(task); }
+  bool contains(const TaskKey& task) const { return m_room.count(task) > 0; }
+  std::size_t size() const { return m_room.size(); }
+
+  void Put(const TaskKey& task, const Capacity& capacity);
+  void erase(const TaskKey& task);
+
+  const Capacity& total() const { return m_total; }
+  const StepCounts& step_counts() const { return m_step_counts; }
+
+ private:
+  Map m_room;
+  Capacity m_total;
+  StepCounts m_step_counts;
+};
+
 /// The runs of one upstream by task, with the sums that each placement needs.
 class HostedRuns {
  public:
@@ -74,7 +108,6 @@
   Map::iterator lower_bound(const TaskKey& task) { return m_runs.lower_bound(task); }
   bool empty() const { return m_runs.empty(); }
   std::size_t size() const { return m_runs.size(); }
-  const Map& map() const { return m_runs; }
 
   /// Adds a run, or replaces the task's earlier one. Its reservation and kind must not change
   /// afterwards.
@@ -85,6 +118,7 @@
   void CountInto(std::shared_ptr<AccountUsage> usage) { m_usage = std::move(usage); }
 
   const Capacity& used() const { return m_used; }
+  const StepCounts& step_counts() const { return m_step_counts; }
   bool any_latency_sensitive() const { return m_latency_sensitive > 0; }
   bool any_best_effort() const { return m_best_effort > 0; }
   bool any_needs_unknown() const { return m_needs_unknown > 0; }
@@ -94,6 +128,7 @@
 
   Map m_runs;
   Capacity m_used;
+  StepCounts m_step_counts;
   int m_latency_sensitive = 0;
   int m_best_effort = 0;
   int m_needs_unknown = 0;
@@ -186,8 +221,7 @@
   bool stops_unconfirmed = false;  ///< A run may be stopping without a confirmation.
   /// Value of `last_answer` at the last search for stalled runs.
   Milliseconds stalls_checked_at{-1};
-  /// Room kept for lasting tasks that are to be started here.
-  std::map<TaskKey, Capacity> held;
+  HeldRoom held;
 
   /// A start without an answer. The upstream may execute it later, even in its next incarnation.
   struct UnansweredStart {
--- /dev/null
+++ b/tests/large_jobs_test.cc
@@ -0,0 +1,224 @@
+/// @file
+/// Jobs near the largest permitted size. Guards against placement passes that keep the process from
+/// everything else: its membership of the group lapses meanwhile, and callers get no answer.
+#include <catch2/catch.hpp>
+#include <ctime>
+
+#include "scheduler_simulation.h"
+
+namespace endivewood::testing {
+namespace {
+
+using std::chrono::microseconds;
+
+/// The share of a core that an instance of the deployments has.
+constexpr double kInstanceCores = 0.25;
+
+/// Processor time of the longest call of a scheduler: the shortest requests should be answered in
+/// 600 ms, so the process mustn't stand still for longer.
+constexpr microseconds kMaxCallTime(static_cast<int>(600000 * kInstanceCores));
+
+microseconds ThreadCpuTime() {
+  timespec time{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+  return std::chrono::seconds(time.tv_sec) +
+         std::chrono::duration_cast<microseconds>(std::chrono::nanoseconds(time.tv_nsec));
+}
+
+constexpr Capacity kUpstreamCapacity{.cpu_millicores = 32000, .memory_mb = 65536, .gpus = 0};
+
+/// A holder and its upstreams, as in SchedulerSimulation, but without the checks of each step,
+/// which take longer than the scheduler. Measures the processor time of the scheduler's calls.
+class LargeJobPlay {
+ public:
+  explicit LargeJobPlay(int upstreams_count) {
+    SetEventSink({.enabled = [](EventLevel level) { return level != EventLevel::kDebug; },
+                  .write = [this](Event event, const auto&) { ++events[event]; }});
+    for (int number = 0; number < upstreams_count; ++number) {
+      auto upstream = std::make_unique<FakeUpstream>();
+      upstream->entry = {.id = UpstreamId("u" + std::to_string(number)),
+                         .service = test_service,
+                         .endpoint = {.address = "127.0.0.1", .port = 1},
+                         .data_centre = DataCentreName("dc"),
+                         .capacity = kUpstreamCapacity,
+                         .rack = RackName("r1"),
+                         .start_time = 1};
+      m_by_id[upstream->entry.id] = upstream.get();
+      upstreams.push_back(std::move(upstream));
+    }
+    StartNewHolder();
+    Run(Milliseconds(1000));
+  }
+  ~LargeJobPlay() { SilenceEvents(); }
+  LargeJobPlay(const LargeJobPlay&) = delete;
+  LargeJobPlay& operator=(const LargeJobPlay&) = delete;
+
+  /// Starts a scheduler from the stored records. Orders of the former one get no answer.
+  void StartNewHolder() {
+    m_answers.clear();
+    m_renewals.clear();
+    holder = std::make_unique<JobScheduler>(SchedulerOptions{.partition = 1, .epoch = ++m_epoch});
+    for (const auto& [key, value] : m_store) holder->Restore({.key = key, .value = value});
+    Measure([&] { holder->FinishRestore(now, Milliseconds{0}, now + Milliseconds(10200)); });
+  }
+
+  void Submit(const std::string& id, const StepSpec& step) {
+    const JobSpec spec{.id = JobId(id),
+                       .queue = QueueName("q"),
+                       .service = test_service,
+                       .payload = "text",
+                       .steps = {step}};
+    m_specs[spec.id] = spec;
+    Measure([&] { holder->Submit(spec, test_policy, now); });
+  }
+
+  void Run(Milliseconds duration) {
+    const Milliseconds end = now + duration;
+    while (now < end) Step();
+  }
+
+  /// @returns the number of running tasks of a job.
+  int RunningOf(const std::string& job) const {
+    int running = 0;
+    for (const auto& upstream : upstreams) {
+      for (const auto& [task, run] : upstream->running) running += task.job == JobId(job) ? 1 : 0;
+    }
+    return running;
+  }
+
+  Milliseconds now{1000};
+  std::vector<std::unique_ptr<FakeUpstream>> upstreams;
+  std::unique_ptr<JobScheduler> holder;
+  std::map<Event, int> events;  ///< Numbers of logged events.
+  microseconds longest_call{0};
+  microseconds time_of_all_calls{0};
+
+ private:
+  /// A renewal that waits for the end of a run.
+  struct Renewal {
+    RenewOrder order;
+    Milliseconds until{0};
+  };
+
+  template <typename Call>
+  void Measure(Call call) {
+    const microseconds before = ThreadCpuTime();
+    call();
+    const microseconds took = ThreadCpuTime() - before;
+    longest_call = std::max(longest_call, took);
+    time_of_all_calls += took;
+  }
+
+  void Step() {
+    now += Milliseconds(10);
+    for (const auto& upstream : upstreams) upstream->Advance(now);
+    if (now.count() % 500 == 0) PublishUpstreams();
+    for (const auto& answer : std::exchange(m_answers, {})) answer();
+    AnswerRenewals();
+    if (holder->NextDue(now) <= now) {
+      Measure([&] { holder->Run(now, Milliseconds{0}, {.confirmed_at = now}); });
+    }
+    for (const UpstreamOrder& order : holder->TakeOrders()) Execute(order);
+    StoreBatch();
+  }
+
+  void PublishUpstreams() {
+    std::vector<UpstreamEntry> entries;
+    for (const auto& upstream : upstreams) entries.push_back(upstream->entry);
+    Measure([&] { holder->SetUpstreams(entries, now); });
+    Measure([&] { holder->Demand(test_service, now); });
+  }
+
+  void AnswerRenewals() {
+    std::vector<Renewal> due;
+    std::erase_if(m_renewals, [&](const Renewal& renewal) {
+      const bool waits = m_by_id.at(renewal.order.upstream)->ended.empty() && now < renewal.until;
+      if (!waits) due.push_back(renewal);
+      return !waits;
+    });
+    for (const auto& [order, until] : due) {
+      const RenewReply reply =
+          m_by_id.at(order.upstream)->Renew(order, order.target.fencing_token, now);
+      Measure([&] { holder->OnRenewed(order, reply, now); });
+    }
+  }
+
+  void Execute(const UpstreamOrder& order) {
+    if (const auto* renew = std::get_if<RenewOrder>(&order)) {
+      m_by_id.at(renew->upstream)->Renew(*renew, renew->target.fencing_token, now);
+      m_renewals.push_back({.order = *renew, .until = now + renew->wait});
+    } else if (const auto* start = std::get_if<StartOrder>(&order)) {
+      const StepSpec& step = m_specs.at(start->task.job).steps[start->task.step];
+      const OrderReply reply =
+          m_by_id.at(start->upstream)
+              ->Start(*start, start->target.fencing_token, step, step.estimate, now);
+      m_answers.push_back([this, start = *start, reply] {
+        Measure([&] { holder->OnStarted(start, reply, now); });
+      });
+    } else if (const auto* stop = std::get_if<StopOrder>(&order)) {
+      const OrderReply reply =
+          m_by_id.at(stop->upstream)->Stop(*stop, stop->target.fencing_token, now);
+      m_answers.push_back(
+          [this, stop = *stop, reply] { Measure([&] { holder->OnStopped(stop, reply, now); }); });
+    }
+  }
+
+  void StoreBatch() {
+    std::optional<DurableBatch> batch;
+    Measure([&] { batch = holder->TakeBatch(); });
+    if (!batch) return;
+    for (const KeyedRecord& record : batch->records) m_store[record.key] = record.value;
+    Measure([&] { holder->OnDurable(batch->change); });
+  }
+
+  std::map<UpstreamId, FakeUpstream*> m_by_id;
+  std::map<JobId, JobSpec> m_specs;
+  std::map<std::string, std::string> m_store;
+  std::vector<std::function<void()>> m_answers;
+  std::vector<Renewal> m_renewals;
+  std::uint64_t m_epoch = 0;
+};
+
+/// A step of `count` tasks that need little capacity.
+StepSpec SmallTasks(int count) {
+  StepSpec step = Step(count, 10);
+  step.memory_mb = 1;
+  return step;
+}
+
+StepSpec SmallLastingTasks(int count) {
+  StepSpec step = SmallTasks(count);
+  step.lasting = true;
+  return step;
+}
+
+// Guards against counting the step's tasks on each upstream anew for each task.
+TEST_CASE("a job of the largest size with a limit per upstream starts at once") {
+  LargeJobPlay play(8);
+  StepSpec step = SmallLastingTasks(config::kMaxTasksPerJob);
+  step.max_per_upstream = 600;
+  play.Submit("job", step);
+  play.Run(Milliseconds(3000));
+  CHECK(play.RunningOf("job") == 8 * 600);
+  CHECK(play.longest_call <= kMaxCallTime);
+  CHECK(play.time_of_all_calls <= kInstanceCores * Milliseconds(3000));
+}
+
+// Guards against the same in the first passes of the next holder.
+TEST_CASE("the next holder of a job of the largest size with a limit per upstream adopts it") {
+  LargeJobPlay play(8);
+  StepSpec step = SmallLastingTasks(config::kMaxTasksPerJob);
+  step.max_per_upstream = 600;
+  play.Submit("job", step);
+  play.Run(Milliseconds(3000));
+  play.StartNewHolder();
+  play.longest_call = microseconds{0};
+  play.time_of_all_calls = microseconds{0};
+  play.Run(Milliseconds(3000));
+  CHECK(play.RunningOf("job") == 8 * 600);
+  CHECK(play.longest_call <= kMaxCallTime);
+  CHECK(play.time_of_all_calls <= kInstanceCores * Milliseconds(3000));
+}
+
+}  // namespace
+}  // namespace endivewood::testing
