--- a/src/job_scheduler.h
+++ b/src/job_scheduler.h
@@ -209,19 +209,6 @@
   void EndJob(const JobId& id, JobState state, Milliseconds now);
   void StopRunsOf(const JobId& id, Milliseconds now);
   void ExpireResults(Milliseconds unix_now);
-  void Place(Milliseconds now, Milliseconds unix_offset);
-  void PlaceWaiting(std::vector<WaitingStep>* waiting, Milliseconds now);
-  /// @returns the services of which some of the steps still have tasks to start.
-  static std::set<ServiceName> ServicesOf(const std::vector<WaitingStep>& waiting);
-  bool MaySendStart(const Job& job) const;
-  static std::int64_t StartBytes(const std::string& payload);
-  void PlaceStep(WaitingStep* waiting, CandidatePool* pool, Milliseconds now);
-  /// @returns whether the task was started.
-  bool PlaceTask(WaitingStep* waiting, const TaskKey& key, CandidatePool* pool, Milliseconds now);
-  void PlaceGang(WaitingStep* waiting, std::vector<UpstreamCandidate>* candidates,
-                 Milliseconds now);
-  void Start(WaitingStep* waiting, int index, std::uint64_t run, UpstreamCandidate* candidate,
-             Milliseconds now);
   /// Call when an upstream has shown that a task of the job runs or has run. An ordered start isn't
   /// enough: it may be refused or never arrive.
   void NoteStarted(Job* job);
@@ -237,6 +224,21 @@
                                                ServiceLoad* load) const;
   /// Sets the standing of waiting steps whose service has too little room.
   void RankAccounts(std::vector<WaitingStep>* waiting, Milliseconds now);
+
+  // job_scheduler_placement.cc
+  void Place(Milliseconds now, Milliseconds unix_offset);
+  void PlaceWaiting(std::vector<WaitingStep>* waiting, Milliseconds now);
+  /// @returns the services of which some of the steps still have tasks to start.
+  static std::set<ServiceName> ServicesOf(const std::vector<WaitingStep>& waiting);
+  bool MaySendStart(const Job& job) const;
+  static std::int64_t StartBytes(const std::string& payload);
+  void PlaceStep(WaitingStep* waiting, CandidatePool* pool, Milliseconds now);
+  /// @returns whether the task was started.
+  bool PlaceTask(WaitingStep* waiting, const TaskKey& key, CandidatePool* pool, Milliseconds now);
+  void PlaceGang(WaitingStep* waiting, std::vector<UpstreamCandidate>* candidates,
+                 Milliseconds now);
+  void Start(WaitingStep* waiting, int index, std::uint64_t run, UpstreamCandidate* candidate,
+             Milliseconds now);
   bool MayPlace(const Job& job, int step, const TaskState& task, Milliseconds now) const;
 
   // job_scheduler_accounts.cc
