Count whether a gang has room before choosing its upstreams

For a gang without room, each pass chose an upstream for each member until one found none: up to members x upstreams checks, for each rack, every few milliseconds.

Change: PlaceGang adds up first how many members each upstream takes, and looks further only if that is enough.

--- a/src/job_placement.cc
+++ b/src/job_placement.cc
@@ -248,6 +248,22 @@
   return limit;
 }
 
+int CountFitting(const UpstreamCandidate& candidate, const WaitingStep& waiting, int limit) {
+  const StepSpec& step = waiting.spec();
+  const UpstreamSession& session = *candidate.session;
+  const TaskKey first{.job = waiting.job->spec().id,
+                      .occurrence = waiting.occurrence->number,
+                      .step = waiting.step};
+  if (!Fits(candidate, waiting, first)) return 0;
+  if (candidate.trial_only) return std::min(1, limit);
+  if (step.max_per_upstream > 0) {
+    const StepKey key = StepKeyOf(first);
+    const int others = session.hosted.step_counts().Of(key) + session.held.step_counts().Of(key);
+    limit = std::min(limit, step.max_per_upstream - others);
+  }
+  return CountHeld(candidate.free, ReservationOf(step), limit);
+}
+
 UpstreamCandidate* ChooseCandidate(std::vector<UpstreamCandidate>* candidates,
                                    const WaitingStep& waiting, const TaskKey& key) {
   const TaskState& task = waiting.state().tasks[key.index];
--- a/src/job_placement.h
+++ b/src/job_placement.h
@@ -127,6 +127,9 @@
 /// @returns how many times free capacity holds what a task needs, at most `limit`.
 int CountHeld(const Capacity& free, const Capacity& needed, int limit);
 
+/// @returns how many tasks of a step fit on a candidate beside each other, at most `limit`.
+int CountFitting(const UpstreamCandidate& candidate, const WaitingStep& waiting, int limit);
+
 /// Chooses the best upstream for one task. Criteria in this order: the task hasn't failed there; it
 /// has a good standing; it is in the rack of the task's data; best-effort and latency-sensitive
 /// tasks stay apart. Among equals, lasting tasks get the upstream with the most free CPU and other
--- a/src/job_scheduler_placement.cc
+++ b/src/job_scheduler_placement.cc
@@ -247,6 +247,12 @@
       if (!rack.valid() || candidate.session->entry.rack == rack)
         rack_candidates.push_back(candidate);
     }
+    const int members = static_cast<int>(state.tasks.size());
+    int fitting = 0;
+    for (const UpstreamCandidate& candidate : rack_candidates) {
+      fitting += CountFitting(candidate, *waiting, members - fitting);
+    }
+    if (fitting < members) continue;
     std::vector<UpstreamCandidate*> chosen;
     for (int index = 0; index < static_cast<int>(state.tasks.size()); ++index) {
       const TaskKey key{.job = waiting->job->spec().id,
--- a/tests/large_jobs_test.cc
+++ b/tests/large_jobs_test.cc
@@ -315,5 +315,17 @@
   CheckCallTimes(&play, Milliseconds(5000));
 }
 
+// Guards against choosing an upstream for each member of a gang that can't start.
+TEST_CASE("a large gang without room doesn't hold up its process") {
+  LargeJobPlay play(100);
+  StepSpec step = SmallTasks(config::kMaxTasksPerJob);
+  step.gang = true;
+  step.cpu_millicores = 400;
+  play.Submit("job", step);
+  play.Run(Milliseconds(3000));
+  CHECK(play.RunningOf("job") == 0);
+  CheckCallTimes(&play, Milliseconds(4000));
+}
+
 }  // namespace
 }  // namespace endivewood::testing
