Limit the starts that wait for an answer, and those of one pass

After a large job was accepted, its holder sent all starts that had room in one pass. Renewals of leases and stops wait behind the starts at the same connections. A pass that sends thousands of starts also keeps the process from its membership and its callers.

Cause: the only limit is the link's (max_unanswered_bytes), which is 12.5 MB on the instances of the deployments, about 25,000 starts.

Change: no more than kMaxUnansweredStarts wait for an answer at one upstream; further tasks take another upstream, or wait until half of them are answered. A pass starts or holds room for at most kMaxPlacementsPerPass tasks, and the next pass goes on after the process has handled what has arrived meanwhile. Gangs start at once, so they aren't split.

--- a/src/config.h
+++ b/src/config.h
@@ -312,6 +312,15 @@
 /// Bytes of a start order beside its payload: headers and fields.
 inline constexpr std::int64_t kStartOverheadBytes = 400;
 
+/// Maximum number of start orders without an answer at one upstream: what its connections carry
+/// within the orders' timeout if a round trip takes 60 ms, as it does at a busy upstream. Renewals
+/// and stops wait behind them.
+inline constexpr int kMaxUnansweredStarts = 40;
+
+/// Maximum number of tasks that a placement pass starts or holds room for. The next pass goes on
+/// after the process has handled what has arrived meanwhile.
+inline constexpr int kMaxPlacementsPerPass = 250;
+
 /// Milliseconds of an instance's link that unanswered start orders may fill: a sixth of their
 /// timeout, so that the orders and renewals behind them are still answered in time.
 inline constexpr std::int64_t kStartWindowMs = 100;
--- a/src/job_placement.cc
+++ b/src/job_placement.cc
@@ -231,11 +231,15 @@
   return Fits(candidate, waiting, key) && hosted.find(key) == hosted.end();
 }
 
-int CountFits(const std::vector<UpstreamCandidate>& candidates, const WaitingStep& waiting,
-              const TaskKey& key) {
-  return static_cast<int>(
-      std::count_if(candidates.begin(), candidates.end(),
-                    [&](const UpstreamCandidate& each) { return Fits(each, waiting, key); }));
+FitCounts CountFits(const std::vector<UpstreamCandidate>& candidates, const WaitingStep& waiting,
+                    const TaskKey& key) {
+  FitCounts counts;
+  for (const UpstreamCandidate& candidate : candidates) {
+    if (!Fits(candidate, waiting, key)) continue;
+    ++counts.fit;
+    if (candidate.session->AwaitsAnswers()) ++counts.awaiting_answers;
+  }
+  return counts;
 }
 
 int CountHeld(const Capacity& free, const Capacity& needed, int limit) {
@@ -265,11 +269,13 @@
 }
 
 UpstreamCandidate* ChooseCandidate(std::vector<UpstreamCandidate>* candidates,
-                                   const WaitingStep& waiting, const TaskKey& key) {
+                                   const WaitingStep& waiting, const TaskKey& key,
+                                   StartLimit limit) {
   const TaskState& task = waiting.state().tasks[key.index];
   UpstreamCandidate* best = nullptr;
   PlacementCost best_cost;
   for (UpstreamCandidate& candidate : *candidates) {
+    if (limit == StartLimit::kApplied && candidate.session->AwaitsAnswers()) continue;
     if (!Fits(candidate, waiting, key)) continue;
     const PlacementCost cost = CostOf(candidate, waiting, task);
     if (best != nullptr && cost >= best_cost) continue;
--- a/src/job_placement.h
+++ b/src/job_placement.h
@@ -120,9 +120,13 @@
 /// @returns whether the candidate fits a task, and no earlier run of the task is stopping there.
 bool MayStartOn(const UpstreamCandidate& candidate, const WaitingStep& waiting, const TaskKey& key);
 
-/// @returns how many candidates fit a task.
-int CountFits(const std::vector<UpstreamCandidate>& candidates, const WaitingStep& waiting,
-              const TaskKey& key);
+/// Why the candidates that fit a task don't get it.
+struct FitCounts {
+  int fit = 0;
+  int awaiting_answers = 0;  ///< Of these, see UpstreamSession::AwaitsAnswers.
+};
+FitCounts CountFits(const std::vector<UpstreamCandidate>& candidates, const WaitingStep& waiting,
+                    const TaskKey& key);
 
 /// @returns how many times free capacity holds what a task needs, at most `limit`.
 int CountHeld(const Capacity& free, const Capacity& needed, int limit);
@@ -130,6 +134,9 @@
 /// @returns how many tasks of a step fit on a candidate beside each other, at most `limit`.
 int CountFitting(const UpstreamCandidate& candidate, const WaitingStep& waiting, int limit);
 
+/// Whether an upstream is chosen from which many starts have no answer yet.
+enum class StartLimit : std::uint8_t { kIgnored = 0, kApplied };
+
 /// Chooses the best upstream for one task. Criteria in this order: the task hasn't failed there; it
 /// has a good standing; it is in the rack of the task's data; best-effort and latency-sensitive
 /// tasks stay apart. Among equals, lasting tasks get the upstream with the most free CPU and other
@@ -137,7 +144,8 @@
 /// between pools.
 /// @returns nullptr if no upstream fits.
 UpstreamCandidate* ChooseCandidate(std::vector<UpstreamCandidate>* candidates,
-                                   const WaitingStep& waiting, const TaskKey& key);
+                                   const WaitingStep& waiting, const TaskKey& key,
+                                   StartLimit limit = StartLimit::kIgnored);
 
 /// A service's upstreams by the first reason why they don't take a task of a step.
 struct RoomCounts {
--- a/src/job_scheduler.h
+++ b/src/job_scheduler.h
@@ -237,6 +237,7 @@
   /// so what one finds holds for the others, unless room is held for them.
   struct LastingSearch {
     bool no_room = false;           ///< No upstream takes a task for which no room is held.
+    bool awaits_answers = false;    ///< Those that take one await answers to earlier starts.
     bool no_future_room = false;    ///< Nor is there an upstream that could hold room for it.
     bool no_released_room = false;  ///< Nor a released one.
     int unplaced = 0;               ///< Tasks that get no room before an upstream could be added.
@@ -454,6 +455,9 @@
   std::map<ServiceName, std::int64_t> m_cpu_waiting;  ///< See ServiceDemand.
   std::int64_t m_unanswered_bytes = 0;  ///< See SchedulerOptions::max_unanswered_bytes.
   bool m_start_window_full = false;     ///< The last placement left tasks for later.
+  /// The last placement left tasks for upstreams from which many starts have no answer yet.
+  bool m_starts_await_answers = false;
+  int m_placements_left = 0;  ///< Of the present pass, see kMaxPlacementsPerPass.
   /// The upstream that keeps room for a lasting task, see UpstreamSession::held.
   struct Hold {
     UpstreamId upstream;
--- a/src/job_scheduler_lasting.cc
+++ b/src/job_scheduler_lasting.cc
@@ -100,6 +100,7 @@
   }
   UpstreamCandidate* const chosen = room->candidate;
   const Milliseconds expected = room->at;
+  --m_placements_left;
   const Capacity capacity = ReservationOf(waiting.spec());
   if (hold != m_holds.end()) {
     for (UpstreamCandidate& candidate : *candidates) {
--- a/src/job_scheduler_placement.cc
+++ b/src/job_scheduler_placement.cc
@@ -39,6 +39,8 @@
   m_cpu_waiting.clear();
   m_unplaced_lasting.clear();
   m_start_window_full = false;
+  m_starts_await_answers = false;
+  m_placements_left = config::kMaxPlacementsPerPass;
   m_released_candidates.reset();
   for (auto& [id, job] : m_jobs) {
     // A crash would lose a running job that isn't stored.
@@ -125,6 +127,10 @@
       NoteWaitingForShare(*waiting);
       return;
     }
+    if (m_placements_left <= 0) {
+      m_next_due = now;
+      return;
+    }
     const TaskKey key{.job = waiting->job->spec().id,
                       .occurrence = waiting->occurrence->number,
                       .step = waiting->step,
@@ -141,9 +147,14 @@
                                   Milliseconds now) {
   const Capacity needed = ReservationOf(waiting->spec());
   if (!pool->MayHold(needed)) return false;
-  UpstreamCandidate* const candidate = ChooseCandidate(&pool->candidates, *waiting, key);
+  UpstreamCandidate* const candidate =
+      ChooseCandidate(&pool->candidates, *waiting, key, StartLimit::kApplied);
   if (candidate != nullptr) return StartTask(waiting, key, candidate, now);
-  pool->NoteSearched(needed);
+  if (CountFits(pool->candidates, *waiting, key).awaiting_answers > 0) {
+    m_starts_await_answers = true;
+  } else {
+    pool->NoteSearched(needed);
+  }
   return false;
 }
 
@@ -153,21 +164,31 @@
   const bool has_hold = hold != m_holds.end();
   const Capacity needed = ReservationOf(waiting->spec());
   if (!has_hold && !search->no_room) search->no_room = !pool->MayHold(needed);
-  if (!search->no_room) {
-    if (UpstreamCandidate* const chosen = ChooseCandidate(&pool->candidates, *waiting, key)) {
+  if (!search->no_room && !search->awaits_answers) {
+    if (UpstreamCandidate* const chosen =
+            ChooseCandidate(&pool->candidates, *waiting, key, StartLimit::kApplied)) {
       StartTask(waiting, key, chosen, now);
       return;
     }
-    search->no_room = CountFits(pool->candidates, *waiting, key) == 0;
+    const FitCounts fits = CountFits(pool->candidates, *waiting, key);
+    search->awaits_answers = fits.awaiting_answers > 0;
+    search->no_room = fits.fit == 0;
     if (search->no_room && !has_hold) pool->NoteSearched(needed);
   } else if (has_hold) {
-    // Only the upstream that holds room for the task can have any.
+    // Only the upstream that holds room for the task can take it.
     UpstreamCandidate* const holding = pool->Find(hold->second.upstream);
     if (holding != nullptr && MayStartOn(*holding, *waiting, key)) {
-      StartTask(waiting, key, holding, now);
-      return;
+      if (!holding->session->AwaitsAnswers()) {
+        StartTask(waiting, key, holding, now);
+        return;
+      }
+      search->awaits_answers = true;
     }
   }
+  if (search->awaits_answers) {
+    m_starts_await_answers = true;
+    return;
+  }
   PlaceWithoutRoom(waiting, key, pool, search, now);
 }
 
@@ -193,12 +214,18 @@
   }
   if (!search->no_released_room) {
     if (!m_released_candidates) m_released_candidates = FindBusyReleased(&m_sessions, now);
-    UpstreamCandidate* const candidate = ChooseCandidate(&*m_released_candidates, *waiting, key);
+    UpstreamCandidate* const candidate =
+        ChooseCandidate(&*m_released_candidates, *waiting, key, StartLimit::kApplied);
     if (candidate != nullptr) {
       StartTask(waiting, key, candidate, now);
       return;
     }
-    search->no_released_room = CountFits(*m_released_candidates, *waiting, key) == 0;
+    const FitCounts fits = CountFits(*m_released_candidates, *waiting, key);
+    if (fits.awaiting_answers > 0) {
+      m_starts_await_answers = true;
+      return;
+    }
+    search->no_released_room = fits.fit == 0;
   }
   ++search->unplaced;
 }
@@ -319,6 +346,8 @@
   hosted.resumed = !task.checkpoint.empty();
   session.hosted.Put(key, hosted);
   m_unanswered_bytes += StartBytes(waiting->job->spec().payload);
+  ++session.starts_in_flight;
+  --m_placements_left;
   if (!spec.lasting) {
     m_overload.NotePlaced(
         *waiting->job,
--- a/src/job_scheduler_upstreams.cc
+++ b/src/job_scheduler_upstreams.cc
@@ -151,6 +151,10 @@
   if (m_start_window_full) m_next_due = Milliseconds{0};
   UpstreamSession* session = FindSession(order.upstream);
   if (session == nullptr) return;
+  session->starts_in_flight = std::max(0, session->starts_in_flight - 1);
+  if (m_starts_await_answers && 2 * session->starts_in_flight <= config::kMaxUnansweredStarts) {
+    m_next_due = Milliseconds{0};
+  }
   // An answer may come from the incarnation for which the order was meant, or from the next one.
   const bool current = order.target.incarnation == session->incarnation;
   if (reply.outcome != OrderOutcome::kNoAnswer) {
--- a/src/upstream_session.h
+++ b/src/upstream_session.h
@@ -9,6 +9,7 @@
 #include <set>
 
 #include "client_account.h"
+#include "config.h"
 #include "jobs.h"
 #include "upstream_history.h"
 
@@ -235,6 +236,8 @@
     bool settled = false;
   };
   std::vector<UnansweredStart> unanswered_starts;
+  /// Starts whose answer, or the end of waiting for it, hasn't been reported yet.
+  int starts_in_flight = 0;
 
   bool renew_in_flight = false;
   Milliseconds renew_sent_at{0};
@@ -255,6 +258,9 @@
   Milliseconds reported_released_until{0};
   Milliseconds drain_deadline{0};  ///< While draining: earliest time at which it stops.
 
+  /// @returns whether further starts would wait for the answers to earlier ones.
+  bool AwaitsAnswers() const { return starts_in_flight >= config::kMaxUnansweredStarts; }
+
   /// Call when this incarnation has shown that starts of a task up to the run were executed, or
   /// that they won't be any more. They count for their account only as hosted runs from then on.
   void SettleStarts(const TaskKey& task, std::uint64_t run);
--- a/tests/large_jobs_test.cc
+++ b/tests/large_jobs_test.cc
@@ -256,6 +256,35 @@
   CheckCallTimes(&play, Milliseconds(3000));
 }
 
+// Guards against starts that wait at their upstream's connections until they are given up, and
+// against renewals that wait behind them.
+TEST_CASE("the starts of a large job wait for answers to earlier ones, not at the connections") {
+  const bool lasting = GENERATE(true, false);
+  const int upstreams = GENERATE(8, 100);
+  CAPTURE(lasting, upstreams);
+  LargeJobPlay play(upstreams);
+  StepSpec step = SmallTasks(config::kMaxTasksPerJob);
+  step.lasting = lasting;
+  step.estimate = Milliseconds(60000);
+  play.answer_time = Milliseconds(100);
+  play.Submit("job", step);
+  play.Run(Milliseconds(6000));
+  CHECK(play.most_starts_in_flight <= config::kMaxUnansweredStarts);
+  CHECK(play.RunningOf("job") == config::kMaxTasksPerJob);
+  CheckCallTimes(&play, Milliseconds(7000));
+}
+
+// Guards against a pass that keeps the process from everything else while it sends thousands of
+// starts.
+TEST_CASE("one placement pass starts a limited number of tasks") {
+  LargeJobPlay play(100);
+  play.Submit("job", SmallLastingTasks(config::kMaxTasksPerJob));
+  play.Run(Milliseconds(3000));
+  CHECK(play.most_starts_of_pass <= config::kMaxPlacementsPerPass);
+  CHECK(play.RunningOf("job") == config::kMaxTasksPerJob);
+  CheckCallTimes(&play, Milliseconds(4000));
+}
+
 // Guards against a search, a log line and a place in the demand for each task of a step whose tasks
 // all need the same.
 TEST_CASE("a large lasting step without room is searched for and logged once") {
