Count the tasks that aren't at work once a pass

Cause: before a lasting task is moved, UnavailableBeside visited all tasks of its step, for each task of the upstream and in each pass.

Change: the number of a step's tasks that aren't at work is determined once a pass, and raised by one when a move stops a task. The end of a lease clears it.

--- a/src/job_scheduler.cc
+++ b/src/job_scheduler.cc
@@ -247,6 +247,7 @@
   m_next_due = now + Milliseconds(config::kIdleRenewWaitMs);
   DropStaleHolds(now);
   m_move_candidates.reset();
+  m_unavailable.clear();
   RunSessions(now, rights);
   if (m_inherited_pending) ResolveInheritedTasks(now, rights.confirmed_at);
   ExpireResults(now + m_unix_offset);
--- a/src/job_scheduler.h
+++ b/src/job_scheduler.h
@@ -379,10 +379,12 @@
   void AdjustPace(UpstreamSession* session, Milliseconds now);
   void ScheduleRenew(UpstreamSession* session, Milliseconds at);
   // job_scheduler_lasting.cc
+  /// @returns whether a lasting task does its work, as far as its upstream's last answer tells.
+  bool IsAtWork(const TaskKey& key, const TaskState& task) const;
   /// @returns how many other tasks of the task's step aren't at work.
-  int UnavailableBeside(const TaskKey& task) const;
+  int UnavailableBeside(const TaskKey& task);
   /// Chooses an upstream to which a lasting task can move, and holds room for it there until it
-  /// starts again.
+  /// starts again. The caller stops the task at once if there is one.
   /// @returns nullptr if the task can't be moved now.
   UpstreamSession* PrepareMove(const TaskKey& task, const UpstreamSession& from, Milliseconds now);
   /// Keeps the room that comes free on one upstream for a lasting task that fits nowhere yet, so
@@ -472,6 +474,8 @@
   std::map<StepKey, Milliseconds> m_no_room_until;
   /// Candidates of the moves of one pass.
   std::optional<std::vector<UpstreamCandidate>> m_move_candidates;
+  /// Numbers of tasks that aren't at work, of the steps that were asked for in this pass.
+  std::map<StepKey, int> m_unavailable;
   /// Released upstreams that still run tasks, see FindBusyReleased; of one pass.
   std::optional<std::vector<UpstreamCandidate>> m_released_candidates;
   /// When the waiting lasting tasks of a step, or those that can't be moved, were last logged.
--- a/src/job_scheduler_lasting.cc
+++ b/src/job_scheduler_lasting.cc
@@ -54,30 +54,26 @@
             {"starting", room.starting}});
 }
 
-int JobScheduler::UnavailableBeside(const TaskKey& task) const {
+bool JobScheduler::IsAtWork(const TaskKey& key, const TaskState& task) const {
+  if (!task.placed) return false;
+  const auto session = m_sessions.find(task.placed->upstream);
+  if (session == m_sessions.end() || session->second.unanswered > 0) return false;
+  const auto run = session->second.hosted.find(key);
+  return run != session->second.hosted.end() && run->second.state == HostedState::kRunning &&
+         run->second.percent >= 100;
+}
+
+int JobScheduler::UnavailableBeside(const TaskKey& task) {
   const Job& job = *m_jobs.at(task.job);
   const StepState& step = job.occurrences().at(task.occurrence).steps[task.step];
-  int unavailable = 0;
-  for (int index = 0; index < static_cast<int>(step.tasks.size()); ++index) {
-    const TaskState& other = step.tasks[index];
-    if (index == task.index) continue;
-    if (!other.placed) {
-      ++unavailable;
-      continue;
-    }
+  const auto [unavailable, added] = m_unavailable.try_emplace(StepKeyOf(task), 0);
+  if (added) {
     TaskKey key = task;
-    key.index = index;
-    const auto session = m_sessions.find(other.placed->upstream);
-    if (session == m_sessions.end() || session->second.unanswered > 0) {
-      ++unavailable;
-      continue;
+    for (key.index = 0; key.index < static_cast<int>(step.tasks.size()); ++key.index) {
+      if (!IsAtWork(key, step.tasks[key.index])) ++unavailable->second;
     }
-    const auto run = session->second.hosted.find(key);
-    const bool available = run != session->second.hosted.end() &&
-                           run->second.state == HostedState::kRunning && run->second.percent >= 100;
-    if (!available) ++unavailable;
   }
-  return unavailable;
+  return unavailable->second - (IsAtWork(task, step.tasks[task.index]) ? 0 : 1);
 }
 
 bool JobScheduler::HoldFutureRoom(const WaitingStep& waiting, const TaskKey& task,
@@ -194,6 +190,8 @@
     HoldRoom(task, ReservationOf(spec), target->session, now, now);
     target->free = target->free - ReservationOf(spec);
   }
+  // The caller stops it now.
+  if (IsAtWork(task, *job.Find(task))) ++m_unavailable[StepKeyOf(task)];
   return target->session;
 }
 
--- a/src/job_scheduler_upstreams.cc
+++ b/src/job_scheduler_upstreams.cc
@@ -134,6 +134,7 @@
                                         {"lease_until", session->lease_until},
                                         {"list_read", session->hosted_complete},
                                         {"silent_ms", now - session->last_answer}});
+  m_unavailable.clear();
   while (!session->hosted.empty()) {
     DropRun(session, session->hosted.begin()->first, "lease-ended", now);
   }
--- a/tests/large_jobs_test.cc
+++ b/tests/large_jobs_test.cc
@@ -344,6 +344,27 @@
   CheckCallTimes(&play, Milliseconds(5000));
 }
 
+// Guards against counting the tasks at work anew for each task that has to leave: the leases of the
+// other upstreams would end meanwhile.
+TEST_CASE(
+    "the lasting tasks of a large job leave a draining upstream without holding up the rest") {
+  LargeJobPlay play(8);
+  StepSpec step = SmallLastingTasks(4500);
+  step.max_per_upstream = 600;
+  step.max_unavailable = GENERATE(2, 4500);
+  CAPTURE(step.max_unavailable);
+  play.Submit("job", step);
+  play.Run(Milliseconds(4000));
+  REQUIRE(play.RunningOf("job") == 4500);
+  CheckCallTimes(&play, Milliseconds(5000));
+  play.upstreams[0]->entry.draining = true;
+  play.Run(Milliseconds(6000));
+  CHECK(play.RunningOf("job") >= 4500 - step.max_unavailable);
+  CHECK(play.upstreams[0]->running.size() < 4500 / 8);
+  CHECK(play.events[Event::kUpstreamLeaseEnded] == 0);
+  CheckCallTimes(&play, Milliseconds(6000));
+}
+
 // Guards against choosing an upstream for each member of a gang that can't start.
 TEST_CASE("a large gang without room doesn't hold up its process") {
   LargeJobPlay play(100);
