Sum up a job's remaining work by occurrence

Cause: each end of a task, and each new occurrence, summed up the remaining work of all steps of all occurrences of its job anew; the platform permits 1,000 occurrences.

Change: each occurrence keeps its part of the sum.

--- a/src/job.cc
+++ b/src/job.cc
@@ -120,15 +120,18 @@
 void Job::UpdateRemaining(Occurrence* occurrence) {
   occurrence->remaining_path = CriticalPathOf(occurrence);
   std::int64_t work = 0;
-  for (const auto& [number, each] : m_occurrences) {
-    for (std::size_t step = 0; step < spec().steps.size(); ++step) {
-      const StepSpec& step_spec = spec().steps[step];
-      if (step_spec.lasting) continue;
-      const std::int64_t left = step_spec.count - each.steps[step].done;
-      work += left * step_spec.cpu_millicores * m_durations[step].count() / 1000;
-    }
+  for (std::size_t step = 0; step < spec().steps.size(); ++step) {
+    const StepSpec& step_spec = spec().steps[step];
+    if (step_spec.lasting) continue;
+    const std::int64_t left = step_spec.count - occurrence->steps[step].done;
+    work += left * step_spec.cpu_millicores * m_durations[step].count() / 1000;
   }
-  m_remaining_work = std::min(work, static_cast<std::int64_t>(config::kMaxJobWork));
+  m_created_work += work - occurrence->remaining_work;
+  occurrence->remaining_work = work;
+}
+
+std::int64_t Job::RemainingWork() const {
+  return std::min(m_created_work, static_cast<std::int64_t>(config::kMaxJobWork));
 }
 
 Milliseconds Job::OnTimeDeadlineOf(const Occurrence& occurrence) const {
--- a/src/job.h
+++ b/src/job.h
@@ -62,6 +62,7 @@
   bool complete = false;
   /// Expected length of the critical path through the steps that aren't done.
   Milliseconds remaining_path{0};
+  std::int64_t remaining_work = 0;  ///< CPU time of the tasks that aren't done, core-milliseconds.
 };
 
 /// Record that is stored when a job is accepted.
@@ -146,7 +147,7 @@
   bool MarkDone(const TaskKey& key);
 
   /// @returns the remaining CPU time of all created occurrences in core-milliseconds.
-  std::int64_t RemainingWork() const { return m_remaining_work; }
+  std::int64_t RemainingWork() const;
 
   /// @returns the latest end at which an occurrence counts as on time.
   Milliseconds OnTimeDeadlineOf(const Occurrence& occurrence) const;
@@ -187,7 +188,7 @@
   bool m_lasting = false;
   Milliseconds m_critical_path{0};
   std::int64_t m_work = 0;
-  std::int64_t m_remaining_work = 0;
+  std::int64_t m_created_work = 0;  ///< Sum of Occurrence::remaining_work.
 };
 
 /// @returns whether a job hasn't ended.
--- a/tests/large_jobs_test.cc
+++ b/tests/large_jobs_test.cc
@@ -63,12 +63,15 @@
     Measure([&] { holder->FinishRestore(now, Milliseconds{0}, now + Milliseconds(10200)); });
   }
 
-  void Submit(const std::string& id, const StepSpec& step) {
+  void Submit(const std::string& id, const StepSpec& step) { Submit(id, {step}, 0); }
+
+  void Submit(const std::string& id, const std::vector<StepSpec>& steps, int occurrences) {
     const JobSpec spec{.id = JobId(id),
                        .queue = QueueName("q"),
                        .service = test_service,
                        .payload = "text",
-                       .steps = {step}};
+                       .steps = steps,
+                       .occurrences = occurrences};
     m_specs[spec.id] = spec;
     Measure([&] { holder->Submit(spec, test_policy, now); });
   }
@@ -365,6 +368,16 @@
   CheckCallTimes(&play, Milliseconds(6000));
 }
 
+// Guards against summing up the work of all occurrences anew at each end of a task.
+TEST_CASE("a job with many occurrences that are due doesn't hold up its process") {
+  LargeJobPlay play(8);
+  const std::vector<StepSpec> steps(50, SmallTasks(1));
+  play.Submit("job", steps, 500);
+  play.Run(Milliseconds(6000));
+  CHECK(play.holder->StateOf(JobId("job")) == JobState::kComplete);
+  CheckCallTimes(&play, Milliseconds(7000));
+}
+
 // Guards against choosing an upstream for each member of a gang that can't start.
 TEST_CASE("a large gang without room doesn't hold up its process") {
   LargeJobPlay play(100);
