--- a/src/config.h
+++ b/src/config.h
@@ -354,7 +354,7 @@
 /// can't be, is logged again.
 inline constexpr std::int64_t kWaitReportMs = 1000;
 
-/// Maximum number of such reports of waiting lasting tasks in one placement pass. Each looks at all
+/// Maximum number of reports of waiting lasting tasks in one placement pass. Each looks at all
 /// upstreams.
 inline constexpr int kMaxWaitReportsPerPass = 20;
 
--- a/src/job_placement.h
+++ b/src/job_placement.h
@@ -124,7 +124,7 @@
 /// @returns whether the candidate fits a task, and no earlier run of the task is stopping there.
 bool MayStartOn(const UpstreamCandidate& candidate, const WaitingStep& waiting, const TaskKey& key);
 
-/// Why the candidates that fit a task don't get it.
+/// Numbers of candidates that fit a task.
 struct FitCounts {
   int fit = 0;
   int awaiting_answers = 0;  ///< Of these, see UpstreamSession::AwaitsAnswers.
@@ -138,7 +138,7 @@
 /// @returns how many tasks of a step fit on a candidate beside each other, at most `limit`.
 int CountFitting(const UpstreamCandidate& candidate, const WaitingStep& waiting, int limit);
 
-/// Whether an upstream is chosen from which many starts have no answer yet.
+/// Whether to pass over upstreams from which many starts have no answer yet.
 enum class StartLimit : std::uint8_t { kIgnored = 0, kApplied };
 
 /// Chooses the best upstream for one task. Criteria in this order: the task hasn't failed there; it
