--- a/tests/large_jobs_test.cc
+++ b/tests/large_jobs_test.cc
@@ -169,7 +169,8 @@
       if (!waits) due.push_back(renewal);
       return !waits;
     });
-    for (const auto& [order, until] : due) {
+    for (const Renewal& renewal : due) {
+      const RenewOrder& order = renewal.order;
       const RenewReply reply =
           m_by_id.at(order.upstream)->Renew(order, order.target.fencing_token, now);
       Measure([&] { holder->OnRenewed(order, reply, now); });
